--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,912 @@
+// All decisions of one quilltide sender. The interface is include/quilltide/sender.hpp.
+// Ordinary path: each destination (each endpoint where routes are apart) has a Lane with a bulkhead of
+// tickets and a breaker. A call takes a ticket; without one it is stopped at once, counted, and its message
+// held. Errors, overdue calls and, while calls there run long or fail, stops trip the breaker, which parks
+// the lane and reopens it by trials. All else guards the rules or is an exception listed in docs/design.md.
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "quilltide/sender.hpp"
+#include "state.hpp"
+
+namespace quilltide {
+namespace {
+
+constexpr double kGrowth = 1.5;      // tickets grow by half (the design)
+constexpr double kErrorCount = 5;    // errors in the window that trip (the post's five)
+constexpr double kErrorShare = 0.5;  // and their share of the calls there: any load brings a few errors
+constexpr int kErrorStreak = 2;      // failures in a row that trip: senders with few calls never reach five
+constexpr double kWindowAims = 4;    // the window in shortest aims: long enough for five calls of a slow lane
+constexpr double kOpenAims = 0.4;    // first open time: several trials fit inside an aim's worth of lateness
+constexpr double kOpenGrowth = 1.5;  // open time grows while trials fail: long outages cost few calls
+constexpr double kFleetTrials = 4;   // so many trials an aim from the whole fleet harm nobody
+constexpr double kJitter = 0.2;      // spread of open times, so that senders' trials do not fall together
+constexpr double kOverdue = 6;       // calls older than this many usual durations are judged before they end
+constexpr double kTimeoutUsual = 12;  // a time-out lies well past overdue: it throws work away
+constexpr double kTimeoutAims = 2;    // and past this many aims, for late is still worth something
+constexpr double kLearn = 0.1;        // weight of a new duration in the usual one
+constexpr double kLearnClip = 3;      // a single long call counts as this many usual ones at most
+constexpr double kSlowLearn = 0.3;    // weight of a new duration in the present slowness
+constexpr double kRampShare = 0.7;    // of the multiple in the rules: a returning lane gets what it can do
+constexpr double kLeastRate = 1;      // calls a second that even a small destination takes, from all senders
+constexpr double kAskedWarmUps = 4;  // messages count for a destination's usual traffic over so many warm-ups
+constexpr double kPaceCut = 0.85;    // pace after a refusal, of what was taken lately
+constexpr double kPaceGrowth = 0.1;  // growth of the pace in a second without refusals
+constexpr double kPaceBurstAims = 0.2;  // unused pace that is kept, in shortest aims
+constexpr double kRefusedHold = 0.1;    // cuts of the pace lie so many shortest aims apart
+constexpr double kRefusedCost = 0.2;    // share of the worth that the first pause after a refusal may cost
+constexpr double kWaitNext = 0.6;       // chance that a message left now is served an aim later
+constexpr double kFullRoom = 0.95;      // share of the holding room above which the least worthy is refused
+constexpr double kFeeAims = 0.25;       // a message waits this long for a cheaper route
+constexpr double kLossShare = 0.05;     // of all calls lost while later ones are answered: lossy
+constexpr double kFalseTrip = 0.01;     // chance that lost calls alone trip a breaker then
+constexpr double kCalmAims = 1.5;       // silence between answers this close is no outage
+constexpr std::size_t kRecent = 15;     // calls that tell whether all are slow
+constexpr double kMost = 0.6;        // and the share of them that must be, about the mean of usual durations
+constexpr double kPumpAims = 0.01;   // what waits is looked at again, in shortest aims; four rounds at least
+constexpr double kFirstTickets = 1;  // the design: tickets start at one
+
+enum class Gate { go, trial, noTicket, shut };
+
+}  // namespace
+
+class Sender::Logic {
+ public:
+  Logic(Settings settings, std::uint64_t seed) : s_(std::move(settings)), random_{seed} {
+    s_.slots = std::max(1, s_.slots);
+    s_.fleetSize = std::max(1, s_.fleetSize);
+    s_.period = std::max<Micros>(1, s_.period);
+    if (s_.classes.empty()) s_.classes.emplace_back();
+    if (s_.kinds.empty()) s_.kinds.emplace_back();
+    Micros aim = kNever;
+    for (const ClassSettings& c : s_.classes) {
+      if (c.aim > 0) aim = std::min(aim, c.aim);
+    }
+    aim_ = static_cast<double>(aim == kNever ? s_.period * 100 : aim);
+    window_ = kWindowAims * aim_;
+    // Refused calls may use a limit up, and hundreds that come back soon keep it so: pause while that is
+    // cheap.
+    double lost = 0, worth = 0;
+    for (const ClassSettings& c : s_.classes) {
+      const double span = static_cast<double>(std::max<Micros>(1, c.deadline - c.aim));
+      lost += c.worth * (s_.decay == Decay::halves ? 0.5 : (1 - c.lateWorth) * aim_ / span);
+      worth += c.worth;
+    }
+    firstPause_ =
+        aim_ * std::min(kRefusedHold * s_.fleetSize / 2, kRefusedCost * worth / std::max(lost, 0.01 * worth));
+    pump_ = std::max(4 * s_.period, static_cast<Micros>(kPumpAims * aim_));
+  }
+
+  std::vector<Action> round(Micros now, const std::vector<Event>& events) {
+    if (startedAt_ < 0) startedAt_ = now;
+    now_ = std::max(now_, now);
+    out_.clear();
+    for (const Event& event : events) {
+      std::visit([this](const auto& e) { on(e); }, event);
+    }
+    if (s_.directoryOnRequest && !watching_ && now_ >= nextWatch_) {
+      out_.push_back(Watch{true});
+      nextWatch_ = now_ + std::max<Micros>(s_.askWithin / 10, s_.period);
+      asked_ = true;
+    }
+    endOverdueMessages();
+    judgeOverdueCalls();
+    dispatch();
+    makeRoom();
+    giveBackIdle();
+    if (wakeAt_ <= now_) wakeAt_ = 0;
+    const bool busy = !messages_.empty() || !flights_.empty();
+    Micros wake = busy ? now_ + pump_ : kNever;
+    if (s_.directoryOnRequest && !watching_) wake = std::min(wake, std::max(nextWatch_, now_ + pump_));
+    if (wake < kNever && (wakeAt_ == 0 || wakeAt_ > wake)) {
+      out_.push_back(SetTimer{std::max<Micros>(1, wake - now_), 0});
+      wakeAt_ = wake;
+    }
+    return std::move(out_);
+  }
+
+ private:
+  // ---- Events ----
+
+  void on(const Arrival& a) {
+    if (messages_.contains(a.id)) return;
+    Message m;
+    m.id = a.id;
+    m.order = nextOrder_++;
+    m.cls = std::clamp(a.messageClass, 0, static_cast<int>(s_.classes.size()) - 1);
+    m.destination = a.destination;
+    m.arrived = now_;
+    m.deadline = now_ + std::clamp<Micros>(a.left, 0, kNever);
+    m.handedIn = m.deadline - std::max(a.left, classOf(m).deadline);
+    Destination& d = destinations_[m.destination];
+    d.lane.asked.add(now_, askedFor(), 1);
+    for (auto& [target, ep] : d.endpoints)
+      ep->lane.asked.add(now_, askedFor(), 1.0 / static_cast<double>(d.endpoints.size()));
+    hold(m);
+    messages_[m.id] = m;
+  }
+
+  void on(const Outcome& o) {
+    const auto known = attempts_.find({o.id, o.attempt});
+    if (known == attempts_.end()) return;
+    const auto flightAt = flights_.find(known->second);
+    attempts_.erase(known);
+    Flight& f = flightAt->second;
+    const Micros sent = f.sent;
+    const auto place = endpoints_.find(f.target);
+    if (o.ending == Ending::done && !f.judged && place != endpoints_.end()) {
+      const double usual = mainLane(place->second).usual;
+      if (usual > 0) learnSlowness(std::min(static_cast<double>(o.duration) / usual, 4 * kOverdue));
+    }
+    if (f.overdue && !f.judged && o.ending == Ending::done)
+      losses_.add(now_, kCalmAims * aim_, -1);  // only long
+    if (!f.judged) {
+      f.judged = true;
+      judge(f, o);
+    }
+    if (o.wait > 0 && place != endpoints_.end()) {  // rule: each outcome's wait counts from its own round
+      Lane& lane = mainLane(place->second);
+      lane.waitUntil = std::max(lane.waitUntil, now_ + o.wait);
+    }
+    const bool silent = o.ending == Ending::timedOut || o.ending == Ending::canceled;
+    if (silent && !f.counted && place != endpoints_.end()) mainLane(place->second).unanswered = f.sent;
+    if (--f.pending == 0) {
+      release(f);
+      flights_.erase(flightAt);
+    }
+    const bool mayRun =
+        o.ending != Ending::busy && o.ending != Ending::connectFailed && o.ending != Ending::skipped;
+    const auto at = messages_.find(o.id);
+    if (at == messages_.end()) return;
+    Message& m = at->second;
+    if (o.settled) return forget(m);
+    m.out -= 1;
+    if (mayRun) {
+      m.mayHaveRun = true;
+      m.firstRisk = std::min(m.firstRisk, sent);
+      if (m.riskZone < 0) std::tie(m.riskZone, m.riskTarget) = std::pair(zoneOf(o.target), o.target);
+    }
+    if (m.out > 0) return;
+    if (now_ >= m.deadline || m.attempts >= s_.maxAttempts || !mayGoAgain(m)) return end(m);
+    m.stopped = false;
+    hold(m);
+  }
+
+  void on(const DirectoryView& v) {
+    if (v.scope == ViewScope::refused) {
+      watching_ = false;
+      return;
+    }
+    if (asked_) watching_ = true;
+    std::set<TargetId> named;
+    for (const TargetEntry& e : v.entries) {
+      named.insert(e.target);
+      Endpoint& ep = endpoints_[e.target];
+      if (!ep.entry.target.empty() && ep.entry.destination != e.destination) {
+        destinations_[ep.entry.destination].endpoints.erase(e.target);
+      }
+      ep.entry = e;
+      if (e.listing == Listing::gone) gone_.insert(e.target);
+      Destination& d = destinations_[e.destination];
+      d.endpoints[e.target] = &ep;
+      ep.home = &d;
+      if (s_.weights != Weights::none) {
+        ep.lane.rating = e.rating;
+        d.lane.rating = e.rating;
+      }
+    }
+    if (v.scope == ViewScope::all) {
+      for (auto& [target, ep] : endpoints_) {
+        if (named.contains(target)) continue;
+        ep.entry.listing = Listing::gone;
+        gone_.insert(target);
+      }
+    }
+    forgetGone();
+  }
+
+  void forgetGone() {
+    for (auto at = gone_.begin(); at != gone_.end();) {
+      const auto place = endpoints_.find(*at);
+      const bool listed = place == endpoints_.end() || place->second.entry.listing != Listing::gone;
+      if (!listed && (place->second.inFlight > 0 || !forgettable(place->second.lane))) {
+        ++at;
+        continue;
+      }
+      if (!listed) {
+        const auto d = destinations_.find(place->second.entry.destination);
+        d->second.endpoints.erase(*at);
+        forgetIdle(d);
+        endpoints_.erase(place);
+      }
+      at = gone_.erase(at);
+    }
+  }
+
+  void forgetIdle(std::map<std::int64_t, Destination>::iterator at) {
+    const Destination& d = at->second;
+    if (d.endpoints.empty() && d.held.empty() && d.inFlight == 0 && forgettable(d.lane)) {
+      holding_.erase(at->first);
+      destinations_.erase(at);
+    }
+  }
+
+  // A destination that leaves the list and comes back within a wait or an outage is still bound by it.
+  bool forgettable(const Lane& lane) const {
+    return now_ >= lane.waitUntil && now_ - lane.lastTrouble > s_.warmAfter + static_cast<Micros>(window_);
+  }
+
+  void on(const Gone& g) {
+    const auto at = messages_.find(g.id);
+    if (at != messages_.end()) forget(at->second);
+  }
+
+  // A timer's round itself does what was waiting; notes may lie or be lost, and hundreds may hurry at one.
+  template <typename Other>
+  void on(const Other&) {}
+
+  // ---- Messages ----
+
+  const ClassSettings& classOf(const Message& m) const { return s_.classes[static_cast<std::size_t>(m.cls)]; }
+
+  // Rule: no effect twice. What may have run goes again only as far as its class allows.
+  bool mayGoAgain(const Message& m) const {
+    if (!m.mayHaveRun) return true;
+    const ClassSettings& c = classOf(m);
+    if (c.effect == Effect::safe) return true;
+    return c.effect == Effect::keyed && now_ < m.firstRisk + c.keyTtl;
+  }
+  bool mayGoTo(const Message& m, const Endpoint& ep) const {
+    if (!m.mayHaveRun || classOf(m).effect != Effect::keyed || classOf(m).group == Group::all) return true;
+    return classOf(m).group == Group::zone ? ep.entry.zone == m.riskZone : ep.entry.target == m.riskTarget;
+  }
+  bool mayRefuse(const Message& m) const {
+    const ClassSettings& c = classOf(m);
+    if (c.effect == Effect::safe) return true;
+    if (!m.mayHaveRun && m.out == 0) return true;
+    return c.effect == Effect::keyed && c.group == Group::all && now_ < m.firstRisk + c.keyTtl;
+  }
+
+  void end(Message& m) {
+    if (mayRefuse(m)) {
+      out_.push_back(Refuse{m.id, s_.retryAfter ? std::min<Micros>(s_.maxRetryAfter, aim_) : 0});
+    } else {
+      out_.push_back(Fail{m.id});
+    }
+    forget(m);
+  }
+
+  void hold(const Message& m) {
+    destinations_[m.destination].held[m.order] = m.id;
+    holding_.insert(m.destination);
+    destinations_[m.destination].lookAt = 0;
+  }
+
+  void forget(Message& m) {
+    const auto d = destinations_.find(m.destination);
+    if (d != destinations_.end()) {
+      d->second.held.erase(m.order);
+      forgetIdle(d);
+    }
+    messages_.erase(m.id);
+  }
+
+  double worthAt(const Message& m, Micros when) const {
+    if (when >= m.deadline) return 0;
+    const ClassSettings& c = classOf(m);
+    const double worth = c.worth;
+    const double late = static_cast<double>(when - m.handedIn - c.aim);
+    if (late <= 0) return worth;
+    if (s_.decay == Decay::halves) {
+      return worth * std::max(c.lateWorth, std::exp2(-late / std::max<double>(1, c.aim)));
+    }
+    const double span = static_cast<double>(std::max<Micros>(1, c.deadline - c.aim));
+    return worth * (1 - (1 - c.lateWorth) * std::min(1.0, late / span));
+  }
+
+  // What waiting costs: worth now, less what is likely still got for it one aim later.
+  double urgency(const Message& m, double duration) const {
+    const Micros arrival = now_ + static_cast<Micros>(duration);
+    return worthAt(m, arrival) - kWaitNext * worthAt(m, arrival + classOf(m).aim);
+  }
+
+  // Rule: one final answer in time. A held message is answered on the last round before its time is up.
+  void endOverdueMessages() {
+    std::vector<MessageId> due;
+    for (auto& [id, m] : messages_) {
+      const Micros left = m.deadline - now_;
+      if (m.out == 0 ? left <= pump_ || !mayGoAgain(m) : left <= -s_.answerSlack / 2) due.push_back(id);
+    }
+    for (const MessageId id : due) end(messages_.at(id));
+  }
+
+  // Above the holding room newcomers would be turned away unseen: refuse the least urgent instead.
+  void makeRoom() {
+    const auto limit = static_cast<std::size_t>(kFullRoom * s_.maxOpen);
+    if (messages_.size() <= std::max<std::size_t>(1, limit)) return;
+    std::set<std::pair<double, MessageId>> candidates;
+    for (const auto& [id, m] : messages_) {
+      if (m.out == 0 && mayRefuse(m)) candidates.emplace(urgency(m, usualCall_), id);
+    }
+    for (auto at = candidates.begin(); at != candidates.end() && messages_.size() > limit; ++at)
+      end(messages_.at(at->second));
+  }
+
+  // ---- Lanes: bulkhead, breaker, pace ----
+
+  bool apart(const Endpoint& ep) const { return kindOf(ep).routesApart; }
+  const KindSettings& kindOf(const Endpoint& ep) const {
+    return s_
+        .kinds[static_cast<std::size_t>(std::clamp(ep.entry.kind, 0, static_cast<int>(s_.kinds.size()) - 1))];
+  }
+  Lane& mainLane(Endpoint& ep) { return apart(ep) ? ep.lane : ep.home->lane; }
+  // Where routes share a destination, each endpoint has a breaker of its own, for partial outages.
+  std::vector<Lane*> lanesOf(Endpoint& ep) {
+    if (apart(ep)) return {&ep.lane};
+    return {&ep.home->lane, &ep.lane};
+  }
+  int zoneOf(const TargetId& target) const {
+    const auto at = endpoints_.find(target);
+    return at == endpoints_.end() ? -1 : at->second.entry.zone;
+  }
+  double usualOf(const Lane& lane) const { return lane.usual > 0 ? lane.usual : usualCall_; }
+
+  bool troubled(const Lane& lane) const { return now_ - lane.lastTrouble < static_cast<Micros>(aim_); }
+  int ticketsOf(const Lane& lane) const { return static_cast<int>(std::max(kFirstTickets, lane.tickets)); }
+  // Strictly under three quarters of the slots, at most half when sick; never less than one.
+  int cap(const Lane& lane) const {
+    return std::max(1, lane.state != State::closed || troubled(lane) ? s_.slots / 2 : (3 * s_.slots - 1) / 4);
+  }
+
+  double rampRate(const Lane& lane) const {
+    const double warm = static_cast<double>(std::max<Micros>(1, s_.warmAfter));
+    const double done = std::clamp(static_cast<double>(now_ - lane.rampFrom) / warm, 0.0, 1.0);
+    const double share = s_.startCapacity + (1 - s_.startCapacity) * done;
+    return kRampShare * s_.tipMultiple * share * shareOf(lane);
+  }
+
+  // This sender's share of a destination, in calls a second: of its listed rate, of what a small one takes,
+  // or what came here for it. The more senders, the less each may send, or they push over what comes back.
+  double askedFor() const { return kAskedWarmUps * static_cast<double>(std::max(s_.warmAfter, s_.period)); }
+  double shareOf(const Lane& lane) const {
+    const double seen = askedFor() * (1 - std::exp(-static_cast<double>(now_ - startedAt_) / askedFor()));
+    const double asked =
+        lane.asked.get(now_, askedFor()) / std::max(seen, askedFor() / kAskedWarmUps) * kSecond;
+    const double listed = lane.rating * (s_.weights == Weights::rough ? 0.67 : 1);
+    return std::max(asked, std::max(listed, kLeastRate) / s_.fleetSize);
+  }
+  bool seldom(const Lane& lane) const { return shareOf(lane) * window_ < kErrorStreak * kSecond; }
+  // Trials of all senders together stay within what a destination can do when it is just back; at one called
+  // seldom few try at a time. A false alarm there lasts long.
+  double trialGap(const Lane& lane) const {
+    const double asks = std::max(shareOf(lane), kSecond / window_);
+    const double within = kSecond / (kRampShare * s_.tipMultiple * s_.startCapacity * asks);
+    return std::max(aim_, std::min(within, aim_ * s_.fleetSize / kFleetTrials));
+  }
+
+  // May a call leave for this lane now? Breaker, wait, pace, ramp and tickets each can say no.
+  Gate gate(Lane& lane, bool bulkhead) {
+    if (now_ < lane.waitUntil || now_ < lane.pauseUntil) return Gate::shut;
+    if (lane.state != State::closed) {
+      if (now_ < lane.nextTrial || lane.trialsOut > 1 || lane.inFlight >= cap(lane)) return Gate::shut;
+      return Gate::trial;
+    }
+    if (lane.rampFrom >= 0) {
+      lane.ramp.fill(now_, rampRate(lane), 1);
+      if (now_ > lane.rampFrom + s_.warmAfter) {
+        lane.rampFrom = -1;
+        lane.outage = false;
+      } else if (lane.ramp.tokens < 1) {
+        return Gate::shut;
+      }
+    }
+    if (lane.pace > 0) {
+      const double idle = static_cast<double>(std::max<Micros>(0, now_ - lane.paced.at)) / kSecond;
+      lane.pace *= 1 + kPaceGrowth * idle;
+      lane.paced.fill(now_, lane.pace, std::max(1.0, lane.pace * kPaceBurstAims * aim_ / kSecond));
+      if (now_ - lane.lastCut > static_cast<Micros>(window_) && lane.pace > 3 * rate(lane)) lane.pace = 0;
+      if (lane.pace > 0 && lane.paced.tokens < 1) return Gate::shut;
+    }
+    if (bulkhead && lane.inFlight >= std::min(ticketsOf(lane), cap(lane))) return Gate::noTicket;
+    return Gate::go;
+  }
+
+  double rate(const Lane& lane) const { return lane.taken.get(now_, aim_) / aim_ * kSecond; }
+
+  void depart(Lane& lane, bool trial) {
+    lane.inFlight += 1;
+    lane.calls.add(now_, window_, 1);
+    if (trial) {
+      lane.state = State::trial;
+      lane.trialsOut += 1;
+      lane.nextTrial = now_ + lane.openFor;
+    }
+    if (lane.rampFrom >= 0) lane.ramp.tokens -= 1;
+    if (lane.pace > 0) lane.paced.tokens -= 1;
+  }
+
+  void postpone(Lane& lane) {
+    lane.openFor = std::min<Micros>(static_cast<Micros>(lane.openFor * kOpenGrowth),
+                                    static_cast<Micros>(trialGap(lane)));
+    const double spread = lane.openFor * (1 + kJitter * (2 * random_.uniform() - 1));
+    lane.nextTrial = std::max(now_ + static_cast<Micros>(spread), lane.waitUntil);
+  }
+
+  void trip(Lane& lane, const TargetId& target) {
+    if (lane.state == State::closed) {
+      out_.push_back(Log{"open " + target});
+      lane.openedAt = now_;
+      lane.openFor = static_cast<Micros>(kOpenAims * trialGap(lane));
+    }
+    lane.state = State::open;
+    lane.tickets = kFirstTickets;
+    lane.rampFrom = -1;
+    postpone(lane);
+  }
+
+  // A failure of weight one: an error, a time-out, no connection, a reset or a call that runs far too long.
+  // One call lost while later ones were answered is an error, but no step towards an outage.
+  void fail(Lane& lane, const TargetId& target, bool hard, bool proven, bool lost, bool silent) {
+    lane.lastTrouble = now_;
+    if (!lost) lane.streak += 1;
+    lane.errors.add(now_, window_, 1);
+    if (hard && !lost) {
+      lane.outage = true;
+      lane.provenOnly = proven && (lane.provenOnly || lane.streak == 1);
+    }
+    // A sender that comes seldom learns nothing more in time: the first silence parks, a late answer reopens.
+    if (silent && !lost && seldom(lane)) trip(lane, target);
+    checkTrip(lane, target);
+  }
+
+  void checkTrip(Lane& lane, const TargetId& target) {
+    const double errors = lane.errors.get(now_, window_);
+    const bool counted =
+        errors >= kErrorCount && errors >= (kErrorShare + lossShare() / 2) * lane.calls.get(now_, window_);
+    if (lane.state != State::closed || counted || lane.streak >= streakThatTrips()) trip(lane, target);
+  }
+
+  // Where answers are lost at random everywhere, a streak must be longer to tell a destination's own trouble.
+  double lossShare() const {
+    const double calls = allCalls_.get(now_, kCalmAims * aim_);
+    return calls < kErrorCount ? 0 : std::clamp(losses_.get(now_, kCalmAims * aim_) / calls, 0.0, 0.5);
+  }
+  int streakThatTrips() const {
+    const double share = lossShare();
+    if (share < kLossShare) return kErrorStreak;
+    return std::max(kErrorStreak, static_cast<int>(std::ceil(std::log(kFalseTrip) / std::log(share))));
+  }
+
+  void succeed(Lane& lane, const TargetId& target, Micros duration, bool trial) {
+    const double d = static_cast<double>(duration);
+    const double usual = usualOf(lane);
+    if (usual > 0) lane.slowness += kSlowLearn * (std::min(d / usual, 4 * kOverdue) - lane.slowness);
+    for (double* known : {&lane.usual, &usualCall_}) {
+      *known = *known > 0 ? *known + kLearn * (std::min(d, kLearnClip * *known) - *known) : d;
+    }
+    if (lane.unanswered >= 0 && lane.answeredSince > lane.unanswered) {
+      losses_.add(now_, kCalmAims * aim_, 1);  // nothing came back for that call, yet its destination is well
+      lane.unanswered = -1;
+    }
+    const bool closeBy = now_ - lane.lastDone < static_cast<Micros>(kCalmAims * aim_);
+    lane.lastDone = now_;
+    const bool onlyLong = lane.streak == 1 && !lane.outage;
+    lane.streak = 0;
+    lane.refusals = 0;
+    lane.taken.add(now_, aim_, 1);
+    if (lane.state == State::closed && lane.rampFrom < 0 && !troubled(lane))
+      lane.outage = lane.answeredBadly = false;
+    if (lane.state != State::closed && (trial || onlyLong)) {
+      lane.state = State::closed;
+      lane.errors = lane.calls = Fading{};
+      lane.tickets = kFirstTickets;
+      // Silence between close answers was no outage; errors and refusals may be a partial one. Silence that
+      // ends with a quick answer, or with one after long, was a hang: what comes back is cold.
+      if (closeBy && !lane.answeredBadly) {
+        lane.outage = false;
+      } else if (seldom(lane) && (trial ? d <= kOverdue * usual : d > kCalmAims * aim_)) {
+        lane.outage = true;
+      }
+      if (lane.outage) {
+        lane.rampFrom = now_;
+        lane.ramp = Bucket{random_.uniform(), now_};  // parts of a call add up over the fleet
+      }
+      lane.provenOnly = true;
+      lane.answeredBadly = false;
+      out_.push_back(Log{(lane.outage ? "return " : "close ") + target});
+    } else if (lane.state == State::closed && lane.inFlight >= ticketsOf(lane)) {
+      lane.tickets =
+          std::min<double>(std::ceil(ticketsOf(lane) * kGrowth), std::max(1, (3 * s_.slots - 1) / 4));
+    }
+  }
+
+  // Busy is no illness while other calls are taken: pace down and heed the wait. Refusals alone for longer
+  // than a limit would take to have room again, or a long wait, mean shut.
+  void refused(Lane& lane, const TargetId& target, Micros wait) {
+    if (lane.refusals++ == 0) lane.refusedFrom = now_;
+    const bool longOnly = now_ - lane.refusedFrom > static_cast<Micros>(aim_);
+    if (lane.state != State::closed || (longOnly && lane.refusals > kErrorCount) || wait > aim_) {
+      lane.outage = lane.answeredBadly = true;
+      lane.lastTrouble = now_;
+      trip(lane, target);
+      return;
+    }
+    if (now_ - lane.lastCut > static_cast<Micros>(kRefusedHold * aim_)) {
+      lane.lastCut = now_;
+      double now = rate(lane);
+      if (lane.pace > 0) now = std::min(now, lane.pace);
+      now = std::max(now, kErrorShare * lane.rating / s_.fleetSize);
+      lane.pace = std::max(kPaceCut * now, std::min(1.0, kFleetTrials / s_.fleetSize) * kSecond / aim_);
+      lane.paced = Bucket{1, now_};  // the hold or the wait is over before it is used
+    }
+    // At the end of a told wait all that were told come at once: in a large fleet each stays away longer.
+    const double pause = std::min(firstPause_ * std::exp2(std::min(lane.refusals - 1, 16)), trialGap(lane));
+    if (wait == 0 || s_.fleetSize > kFleetTrials)
+      lane.pauseUntil = now_ + wait + static_cast<Micros>(pause * (0.5 + random_.uniform()));
+  }
+
+  void judge(Flight& f, const Outcome& o) {
+    const auto at = endpoints_.find(f.target);
+    if (at == endpoints_.end() || o.ending == Ending::skipped) return;
+    Endpoint& ep = at->second;
+    takeReport(ep, o.report);
+    if (o.ending == Ending::connectFailed) {
+      // Together they then keep no more than one sender would: two or three fill no table.
+      cutKeep(ep, std::max(keepFor(keepOf(ep)) / 2, s_.connectionIdle / s_.fleetSize));
+      closeIdle(ep);
+    }
+    if (o.ending == Ending::reset) lostOnIdle(ep, f);
+    Keep& keep = keepOf(ep);
+    if (o.ending == Ending::done && static_cast<double>(f.idle) > safeFor(keep))
+      std::tie(keep.safe, keep.safeAt) = std::pair(static_cast<double>(f.idle), now_);
+    for (Lane* lane : lanesOf(ep)) {
+      if (o.ending == Ending::done) {
+        lane->answeredSince = std::max(lane->answeredSince, f.sent);
+        succeed(*lane, f.target, o.duration, f.trial);
+      } else if (o.ending == Ending::busy) {
+        if (lane == &mainLane(ep)) refused(*lane, f.target, o.wait);
+      } else if (o.ending != Ending::canceled &&
+                 f.overdue) {  // counted when it ran long; now known to have failed
+        lane->outage = true;
+        lane->provenOnly = false;
+        lane->lastTrouble = now_;
+      } else if (o.ending != Ending::canceled) {
+        if (o.ending == Ending::error || o.ending == Ending::reset) lane->answeredBadly = true;
+        fail(*lane, f.target, true, o.ending == Ending::connectFailed, f.stale, o.ending == Ending::timedOut);
+      }
+    }
+  }
+
+  // Idle connections of many senders fill small tables, and some networks drop them unseen: what is sent on
+  // one may have run. A failed connect halves the time that they are kept for, by kind; a call lost on an
+  // idle one brings it to half of that idle time; it doubles in each window. A crash costs handshakes for a
+  // while.
+  Keep& keepOf(const Endpoint& ep) { return keeps_[ep.entry.kind]; }
+  Micros keepFor(const Keep& keep) const {
+    if (keep.cutAt < 0) return s_.connectionIdle;
+    const double grown =
+        keep.limit * std::exp2(std::min(64.0, static_cast<double>(now_ - keep.cutAt) / window_));
+    return static_cast<Micros>(std::min(grown, static_cast<double>(s_.connectionIdle)));
+  }
+  void cutKeep(Endpoint& ep, Micros limit) {
+    Keep& keep = keepOf(ep);
+    keep.limit = static_cast<double>(std::min(limit, keepFor(keep)));
+    keep.cutAt = now_;
+  }
+  // Was it the connection? Only if unused for longer than those that calls were answered on lately; each
+  // doubt halves what those prove, since the danger may have begun just now.
+  void lostOnIdle(Endpoint& ep, Flight& f) {
+    Keep& keep = keepOf(ep);
+    f.stale = f.idle > safeFor(keep);
+    if (f.idle > 0) std::tie(keep.safe, keep.safeAt) = std::pair(safeFor(keep) / 2, now_);
+    if (!f.stale) return;
+    cutKeep(ep, f.idle / 2);
+    closeIdle(ep);
+  }
+  double safeFor(const Keep& keep) const {
+    return keep.safe * std::exp2(-static_cast<double>(now_ - keep.safeAt) / window_);
+  }
+  void closeIdle(Endpoint& ep) {
+    if (ep.connections <= ep.inFlight) return;
+    out_.push_back(CloseIdle{ep.entry.target});
+    ep.connections = ep.inFlight;
+  }
+  void giveBackIdle() {
+    for (auto& [kind, keep] : keeps_) {
+      while (!keep.unused.empty() && now_ - keep.unused.front().first >= keepFor(keep)) {
+        const auto at = endpoints_.find(keep.unused.front().second);
+        const bool used = at == endpoints_.end() || at->second.lastUse > keep.unused.front().first;
+        if (!used) closeIdle(at->second);
+        keep.unused.pop_front();
+      }
+    }
+  }
+
+  void takeReport(Endpoint& ep, const Report& report) {
+    const auto limit = report.find("x1");
+    if (limit != report.end() && limit->second > 0) mainLane(ep).rating = limit->second;
+  }
+
+  void release(const Flight& f) {
+    slotsTaken_ -= 1;
+    const auto d = destinations_.find(f.destination);
+    if (d != destinations_.end()) {
+      d->second.inFlight -= 1;
+      d->second.lookAt = 0;
+    }
+    const auto at = endpoints_.find(f.target);
+    if (at == endpoints_.end()) return;
+    at->second.inFlight -= 1;
+    at->second.lastUse = now_;
+    keepOf(at->second).unused.emplace_back(now_, f.target);
+    for (Lane* lane : lanesOf(at->second)) {
+      lane->inFlight -= 1;
+      if (f.trial && !f.overdue && lane->trialsOut > 0) lane->trialsOut -= 1;
+    }
+  }
+
+  // Slowness everywhere is no destination's fault: how long most of this sender's last calls ran, anywhere,
+  // over their usual time stretches what is overdue. It could hide a hang of most destinations for a while.
+  double slownessOfAll() const {
+    return recent_.empty() || now_ - recent_.back().first > static_cast<Micros>(window_) ? 1 : stretch_;
+  }
+  void learnSlowness(double ratio) {
+    recent_.emplace_back(now_, ratio);
+    if (recent_.size() > kRecent || now_ - recent_.front().first > static_cast<Micros>(window_))
+      recent_.pop_front();
+    std::vector<double> all;
+    for (const auto& [at, value] : recent_) all.push_back(value);
+    const auto most = all.begin() + static_cast<std::ptrdiff_t>(kMost * static_cast<double>(all.size() - 1));
+    std::nth_element(all.begin(), most, all.end());
+    stretch_ = static_cast<double>(all.size()) < kErrorCount ? 1 : std::max(1.0, *most);
+  }
+
+  // Hangs show here: a call that runs far longer than usual counts as an error before it times out. When
+  // later ones were answered it is lost, and called off where its messages may go again, or such calls fill
+  // the slots. Each attempt is given twice the time of the one before, for long messages.
+  void judgeOverdueCalls() {
+    const double stretch = slownessOfAll();
+    for (auto& [id, f] : flights_) {
+      const auto at = endpoints_.find(f.target);
+      const auto limit = static_cast<Micros>(stretch * static_cast<double>(f.overdueAt - f.sent));
+      if (f.calledOff || now_ < f.sent + limit || at == endpoints_.end()) continue;
+      const bool overtaken = f.judged || mainLane(at->second).answeredSince > f.sent;
+      if (!f.overdue && !f.judged) {
+        f.overdue = true;
+        lostOnIdle(at->second, f);
+        for (Lane* lane : lanesOf(at->second)) {
+          const bool lost = lane->answeredSince > f.sent || f.stale;
+          // A call from before the breaker opened says nothing new about it.
+          if (lane->state == State::closed || f.sent >= lane->openedAt)
+            fail(*lane, f.target, false, false, lost, true);
+          if (f.trial && lane->trialsOut > 0) lane->trialsOut -= 1;
+        }
+      }
+      if (overtaken && !f.counted) {
+        f.counted = true;
+        losses_.add(now_, kCalmAims * aim_, 1);
+      }
+      const bool longAgo = now_ > f.sent + 2 * limit;
+      if (s_.mayCancel && (f.judged || f.stale || lossShare() > kLossShare ||
+                           (overtaken && longAgo && 4 * slotsTaken_ >= 3 * s_.slots))) {
+        callOff(f, now_ - f.sent, limit);
+      }
+    }
+  }
+
+  void callOff(Flight& f, Micros age, Micros limit) {
+    for (const auto& [id, attempt] : f.attempts) {
+      const auto at = messages_.find(id);
+      if (at == messages_.end()) continue;
+      const Message& m = at->second;
+      const ClassSettings& c = classOf(m);
+      const bool again =
+          c.effect == Effect::safe ||
+          (c.effect == Effect::keyed && now_ < std::min(m.firstRisk, f.sent) + c.keyTtl - limit);
+      if (!again || (m.attempts >= s_.maxAttempts && !f.judged) ||
+          age < limit * (Micros{1} << std::clamp(attempt - 1, 0, 8)))
+        return;
+    }
+    f.calledOff = true;
+    for (const auto& attempt : f.attempts) {
+      if (attempts_.contains(attempt)) out_.push_back(CallOff{attempt.first, attempt.second});
+    }
+  }
+
+  // ---- Calls out ----
+
+  bool warm(const Endpoint& ep) const {
+    const bool fresh = ep.inFlight > 0 || now_ - ep.lastUse < s_.connectionIdle;
+    return fresh && ep.inFlight / std::max(1, s_.streamsPerConnection) < ep.connections;
+  }
+
+  // The endpoint for a message, or none: the quickest that every guard lets through.
+  Endpoint* choose(Message& m, Destination& d, bool& trial, bool& stopped) {
+    Endpoint* best = nullptr;
+    double bestCost = 0;
+    for (auto& [target, place] : d.endpoints) {
+      Endpoint& ep = *place;
+      if (ep.entry.listing != Listing::inService || !mayGoTo(m, ep)) continue;
+      Lane& main = mainLane(ep);
+      Gate at = gate(main, true);
+      if (at == Gate::noTicket || (at == Gate::go && d.inFlight >= cap(main))) stopped = true;
+      if (at == Gate::shut || at == Gate::noTicket || d.inFlight >= cap(main)) continue;
+      if (&main != &ep.lane && d.endpoints.size() > 1 && at == Gate::go) {
+        at = gate(ep.lane, false);
+        if (at == Gate::shut) continue;
+      }
+      if (at == Gate::trial && !mayTry(m, main)) continue;
+      const double usual = std::max(usualOf(ep.lane), 1.0) * std::max(1.0, ep.lane.slowness);
+      double cost = usual * (1 + 0.5 * ep.inFlight) + (warm(ep) ? 0 : 0.5 * usual);
+      if (ep.lane.streak > 0)
+        cost += aim_;  // a failed endpoint must not take the next call from one that answers
+      if (ep.lane.state != State::closed) cost += at == Gate::trial && main.state == State::closed ? 0 : aim_;
+      if (apart(ep)) {
+        const auto zone = static_cast<std::size_t>(std::max(0, ep.entry.zone));
+        const double fee = zone < s_.routeFee.size() ? s_.routeFee[zone] : 0;
+        if (fee > cheapestFee(d) && now_ - m.arrived < static_cast<Micros>(kFeeAims * aim_)) continue;
+        cost += fee * aim_;
+      }
+      if (best == nullptr || cost < bestCost)
+        std::tie(best, bestCost, trial) = std::tuple(&ep, cost, at == Gate::trial);
+    }
+    return best;
+  }
+
+  double cheapestFee(const Destination& d) const {
+    double least = std::numeric_limits<double>::max();
+    for (const auto& [target, place] : d.endpoints) {
+      const Endpoint& ep = *place;
+      if (ep.entry.listing != Listing::inService || ep.lane.state != State::closed) continue;
+      const auto zone = static_cast<std::size_t>(std::max(0, ep.entry.zone));
+      least = std::min(least, zone < s_.routeFee.size() ? s_.routeFee[zone] : 0);
+    }
+    return least;
+  }
+
+  // A trial risks its message: an unsafe one only where nothing can have run, or when nothing else came.
+  bool mayTry(const Message& m, const Lane& lane) const {
+    return classOf(m).effect != Effect::unsafe || lane.provenOnly ||
+           now_ - lane.openedAt > static_cast<Micros>(2 * trialGap(lane));
+  }
+
+  Micros timeoutOf(const Message& m, const Lane& lane) {
+    const ClassSettings& c = classOf(m);
+    const Micros left = m.deadline - now_;
+    if (c.effect == Effect::unsafe) return left;  // a time-out ends the message: never sooner than it must
+    double t =
+        std::max(kTimeoutUsual * usualOf(lane) * slownessOfAll(), kTimeoutAims * static_cast<double>(c.aim));
+    if (c.effect == Effect::keyed) t = std::min(t, static_cast<double>(c.keyTtl) / 2);
+    return std::clamp<Micros>(static_cast<Micros>(t), std::min<Micros>(left, 1), left);
+  }
+
+  void dispatch() {
+    if (slotsTaken_ >= s_.slots) return;
+    std::vector<std::tuple<double, std::uint64_t, MessageId>> waiting;  // the most urgent first
+    for (auto at = holding_.begin(); at != holding_.end();) {
+      Destination& d = destinations_[*at];
+      at = d.held.empty() ? holding_.erase(at) : std::next(at);
+      if (now_ < d.lookAt) continue;
+      for (const auto& [order, id] : d.held) {
+        const Message& m = messages_.at(id);
+        const double usual = std::max(1.0, usualOf(d.lane));
+        waiting.emplace_back(-urgency(m, usual) / usual, order, id);
+      }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    std::map<std::int64_t, std::vector<MessageId>> lines;  // by urgency
+    for (const auto& [cost, order, id] : waiting) lines[messages_.at(id).destination].push_back(id);
+    for (const auto& [cost, order, id] : waiting) {
+      if (slotsTaken_ >= s_.slots) break;
+      Message& m = messages_.at(id);
+      if (m.out > 0) continue;
+      Destination& d = destinations_[m.destination];
+      bool trial = false, stopped = false;
+      Endpoint* ep = choose(m, d, trial, stopped);
+      if (ep == nullptr) {
+        if (stopped && !m.stopped) countStop(m, d);
+        d.lookAt = now_ + pump_;
+        continue;
+      }
+      launch(*ep, d, m, trial);
+      if (kindOf(*ep).batch > 1 && !trial) {
+        int room = kindOf(*ep).batch - 1;
+        for (const MessageId other : lines[m.destination]) {
+          if (room == 0) break;
+          Message& more = messages_.at(other);
+          if (more.out > 0 || !mayGoTo(more, *ep)) continue;
+          join(*ep, more);
+          --room;
+        }
+      }
+    }
+  }
+
+  // A ticket stop is an instant error, counted once a hold while calls there run long or fail: a burst at a
+  // healthy destination must not park it.
+  void countStop(Message& m, Destination& d) {
+    m.stopped = true;
+    for (auto& [target, ep] : d.endpoints) {
+      Lane& lane = mainLane(*ep);
+      if (!troubled(lane) || lane.state != State::closed) continue;
+      lane.errors.add(now_, window_, 1);
+      lane.calls.add(now_, window_, 1);
+      checkTrip(lane, target);
+      return;
+    }
+  }
+
+  void launch(Endpoint& ep, Destination& d, Message& m, bool trial) {
+    Lane& main = mainLane(ep);
+    Flight f;
+    f.destination = m.destination;
+    f.target = ep.entry.target;
+    f.sent = now_;
+    f.trial = trial;
+    // Where no call was answered yet others say little: destinations differ much in pace.
+    const double usual = ep.lane.usual > 0 ? ep.lane.usual : main.usual;
+    f.overdueAt = now_ + static_cast<Micros>(
+                             std::max(kOverdue * (usual > 0 ? usual : usualCall_), usual > 0 ? 0 : aim_));
+    flight_ = ++nextFlight_;
+    flights_[flight_] = f;
+    slotsTaken_ += 1;
+    allCalls_.add(now_, kCalmAims * aim_, 1);
+    d.inFlight += 1;
+    Flight& flight = flights_[flight_];
+    if (ep.inFlight == 0 && now_ - ep.lastUse >= s_.connectionIdle) ep.connections = 0;
+    if (ep.connections > ep.inFlight) flight.idle = now_ - ep.lastUse;
+    if (flight.idle >= keepFor(keepOf(ep))) {
+      closeIdle(ep);
+      flight.idle = 0;
+    }
+    if (!warm(ep)) ep.connections += 1;
+    ep.inFlight += 1;
+    depart(main, trial && main.state != State::closed);
+    if (&main != &ep.lane) depart(ep.lane, trial && ep.lane.state != State::closed);
+    join(ep, m);
+  }
+
+  void join(Endpoint& ep, Message& m) {
+    out_.push_back(Call{m.id, ep.entry.target, timeoutOf(m, mainLane(ep))});
+    attempts_[{m.id, m.attempts}] = flight_;
+    flights_[flight_].attempts.emplace_back(m.id, m.attempts);
+    flights_[flight_].pending += 1;
+    m.attempts += 1;
+    m.out += 1;
+    destinations_[m.destination].held.erase(m.order);
+  }
+
+  Settings s_;
+  Random random_;
+  double aim_ = 1, window_ = 1, firstPause_ = 1;
+  Micros startedAt_ = -1, pump_ = 1, now_ = 0, wakeAt_ = 0, nextWatch_ = 0;
+  bool watching_ = false, asked_ = false;
+  Fading allCalls_, losses_;
+  std::deque<std::pair<Micros, double>> recent_;  // the last calls: when they ended, how slow they were
+  double stretch_ = 1;
+  std::map<int, Keep> keeps_;  // by kind
+  double usualCall_ = 0;       // duration of a call anywhere, until a lane knows its own
+  int slotsTaken_ = 0;
+  std::uint64_t nextOrder_ = 0, nextFlight_ = 0, flight_ = 0;
+  std::map<MessageId, Message> messages_;
+  std::map<std::int64_t, Destination> destinations_;
+  std::set<std::int64_t> holding_;  // destinations that messages wait for
+  std::map<TargetId, Endpoint> endpoints_;
+  std::set<TargetId> gone_;  // left the list; forgotten when nothing binds them
+  std::map<std::uint64_t, Flight> flights_;
+  std::map<std::pair<MessageId, int>, std::uint64_t> attempts_;
+  std::vector<Action> out_;
+};
+
+Sender::Sender(Settings settings, std::uint64_t seed)
+    : logic_(std::make_unique<Logic>(std::move(settings), seed)) {}
+Sender::~Sender() = default;
+Sender::Sender(Sender&&) noexcept = default;
+Sender& Sender::operator=(Sender&&) noexcept = default;
+
+std::vector<Action> Sender::round(Micros now, const std::vector<Event>& events) {
+  return logic_->round(now, events);
+}
+
+}  // namespace quilltide
--- /dev/null
+++ b/tests/bed.hpp
@@ -0,0 +1,135 @@
+// Drives one sender by hand: no model of servers, the test says how each call ends.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "quilltide/sender.hpp"
+
+namespace quilltide::testbed {
+
+class Bed {
+ public:
+  static Settings plain() {
+    Settings s;
+    s.fleetSize = 2;
+    s.slots = 8;
+    s.maxOpen = 100;
+    s.maxAttempts = 6;
+    s.period = 5000;
+    s.connectionIdle = 15'000'000;
+    s.connectTimeout = 1'500'000;
+    s.maxRetryAfter = 2'000'000;
+    s.answerSlack = 20'000;
+    s.overloadFor = 3'000'000;
+    s.warmAfter = 13'000'000;
+    s.startCapacity = 0.2;
+    s.tipMultiple = 2;
+    s.retryAfter = true;
+    s.classes.push_back({2'500'000, 16'000'000, 1, 0.3, Effect::safe, Group::all, 6'000'000});
+    s.kinds.push_back({false, 1});
+    return s;
+  }
+
+  struct Out {
+    MessageId id;
+    int attempt;
+    TargetId target;
+    Micros sent;
+  };
+
+  explicit Bed(const Settings& s) : settings_(s), sender_(s, 7) {}
+
+  void list(const std::vector<TargetId>& targets, Listing listing = Listing::inService) {
+    DirectoryView view;
+    for (const TargetId& t : targets) view.entries.push_back({t, 1, 0, 0, 1, listing});
+    give({view});
+  }
+
+  MessageId arrive(int cls = 0) {
+    Arrival a;
+    a.id = nextId_++;
+    a.messageClass = cls;
+    a.destination = 1;
+    a.left = settings_.classes[static_cast<std::size_t>(cls)].deadline;
+    give({a});
+    return a.id;
+  }
+
+  void step(Micros by) {
+    now_ += by;
+    give({TimerDue{0}});
+  }
+
+  void stepUntilCall(Micros limit) {
+    const std::size_t before = calls_;
+    for (Micros spent = 0; spent < limit && calls_ == before; spent += 20'000) step(20'000);
+  }
+
+  // Ends the oldest call.
+  void finish(Ending ending, Micros wait = 0) {
+    const Out call = out_.front();
+    out_.pop_front();
+    Outcome o;
+    o.id = call.id;
+    o.attempt = call.attempt;
+    o.target = call.target;
+    o.ending = ending;
+    o.duration = now_ - call.sent;
+    o.wait = wait;
+    o.settled = ending == Ending::done;
+    if (o.settled) ++ended_;
+    give({o});
+  }
+
+  void finishLatest(Ending ending) {
+    std::rotate(out_.begin(), out_.end() - 1, out_.end());
+    finish(ending);
+  }
+
+  void give(const std::vector<Event>& events) {
+    actions_ = sender_.round(now_, events);
+    for (const Action& action : actions_) {
+      if (const Call* c = std::get_if<Call>(&action)) {
+        out_.push_back({c->id, attempts_[c->id]++, c->target, now_});
+        ++calls_;
+      } else if (const Refuse* r = std::get_if<Refuse>(&action)) {
+        refused_.insert(r->id);
+        ++ended_;
+      } else if (const Fail* f = std::get_if<Fail>(&action)) {
+        failed_.insert(f->id);
+        ++ended_;
+      } else if (std::holds_alternative<CallOff>(action)) {
+        ++calledOff_;
+      } else if (std::holds_alternative<Watch>(action)) {
+        ++watches_;
+      }
+    }
+  }
+
+  Micros now() const { return now_; }
+  std::size_t out() const { return out_.size(); }
+  const Out& oldest() const { return out_.front(); }
+  std::size_t calls() const { return calls_; }
+  std::size_t ended() const { return ended_; }
+  std::size_t calledOff() const { return calledOff_; }
+  std::size_t watches() const { return watches_; }
+  bool failed(MessageId id) const { return failed_.contains(id); }
+  bool refused(MessageId id) const { return refused_.contains(id); }
+  const std::vector<Action>& actions() const { return actions_; }
+
+ private:
+  Settings settings_;
+  Sender sender_;
+  Micros now_ = 1'000'000;
+  MessageId nextId_ = 1;
+  std::deque<Out> out_;
+  std::map<MessageId, int> attempts_;
+  std::set<MessageId> refused_, failed_;
+  std::size_t calls_ = 0, ended_ = 0, watches_ = 0, calledOff_ = 0;
+  std::vector<Action> actions_;
+};
+
+}  // namespace quilltide::testbed
--- /dev/null
+++ b/tests/sender_test.cpp
@@ -0,0 +1,277 @@
+// Tickets, breaker and guards, state by state, on the module alone.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "bed.hpp"
+
+namespace quilltide {
+namespace {
+
+using testbed::Bed;
+
+TEST(Tickets, StartAtOneAndGrowByHalfWhileCallsSucceed) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 10; ++i) bed.arrive();
+  EXPECT_EQ(bed.out(), 1U);
+  bed.finish(Ending::done);
+  EXPECT_EQ(bed.out(), 2U);
+  bed.finish(Ending::done);
+  EXPECT_EQ(bed.out(), 3U);
+  bed.finish(Ending::done);
+  EXPECT_EQ(bed.out(), 5U);
+}
+
+TEST(Tickets, StayStrictlyUnderThreeQuartersOfTheSlots) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 60; ++i) bed.arrive();
+  std::size_t most = 0;
+  for (int i = 0; i < 40; ++i) {
+    bed.finish(Ending::done);
+    most = std::max(most, bed.out());
+  }
+  EXPECT_EQ(most, 5U);  // of eight slots: six would be three quarters
+}
+
+TEST(Breaker, ParksAfterFailuresAndReopensByOneTrial) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 5; ++i) bed.arrive();
+  bed.finish(Ending::connectFailed);
+  bed.step(5000);
+  ASSERT_EQ(bed.out(), 1U);
+  bed.finish(Ending::connectFailed);
+  bed.step(5000);
+  EXPECT_EQ(bed.out(), 0U);  // parked
+  bed.stepUntilCall(3'000'000);
+  EXPECT_EQ(bed.out(), 1U);  // one trial
+  bed.step(5000);
+  EXPECT_EQ(bed.out(), 1U);
+}
+
+TEST(Breaker, OverdueCallsTripItBeforeTheyTimeOut) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 6; ++i) {
+    bed.arrive();
+    bed.step(100'000);
+    bed.finish(Ending::done);
+  }
+  for (int i = 0; i < 4; ++i) bed.arrive();
+  const std::size_t before = bed.calls();
+  ASSERT_GE(bed.out(), 2U);
+  for (int i = 0; i < 20; ++i) bed.step(50'000);
+  bed.arrive();
+  bed.arrive();
+  EXPECT_LE(bed.calls() - before, 1U);  // a trial at most
+}
+
+TEST(Breaker, ABurstAtAHealthyDestinationDoesNotParkIt) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 40; ++i) bed.arrive();
+  for (int i = 0; i < 40; ++i) {
+    bed.step(100'000);
+    bed.finish(Ending::done);
+  }
+  EXPECT_EQ(bed.ended(), 40U);
+}
+
+TEST(Busy, AboveALimitItPacesAndDoesNotPark) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 20; ++i) bed.arrive();
+  for (int i = 0; i < 5; ++i) {
+    bed.step(100'000);
+    bed.finish(Ending::done);
+  }
+  bed.finish(Ending::busy);
+  bed.step(5000);
+  bed.stepUntilCall(1'000'000);
+  EXPECT_GE(bed.out(), 1U);
+}
+
+TEST(Unsafe, ATimeOutEndsTheMessageAsFailed) {
+  Settings s = Bed::plain();
+  s.classes[0].effect = Effect::unsafe;
+  Bed bed(s);
+  bed.list({"a"});
+  const MessageId id = bed.arrive();
+  bed.finish(Ending::timedOut);
+  EXPECT_TRUE(bed.failed(id));
+}
+
+TEST(Unsafe, GoesAgainAfterProofThatItDidNotRun) {
+  Settings s = Bed::plain();
+  s.classes[0].effect = Effect::unsafe;
+  Bed bed(s);
+  bed.list({"a"});
+  bed.arrive();
+  bed.finish(Ending::connectFailed);
+  bed.stepUntilCall(2'000'000);
+  EXPECT_EQ(bed.out(), 1U);
+}
+
+TEST(Directory, AsksWhereItMustAndAgainAfterARefusal) {
+  Settings s = Bed::plain();
+  s.directoryOnRequest = true;
+  s.askWithin = 10'000'000;
+  Bed bed(s);
+  bed.list({"a"});
+  EXPECT_EQ(bed.watches(), 1U);
+  DirectoryView refused;
+  refused.scope = ViewScope::refused;
+  bed.give({refused});
+  for (int i = 0; i < 30; ++i) bed.step(100'000);
+  EXPECT_GE(bed.watches(), 2U);
+}
+
+TEST(Batch, HeldMessagesTravelAsOneCall) {
+  Settings s = Bed::plain();
+  s.kinds[0].batch = 4;
+  Bed bed(s);
+  bed.list({"a"});
+  for (int i = 0; i < 5; ++i) bed.arrive();
+  EXPECT_EQ(bed.out(), 1U);
+  bed.finish(Ending::done);
+  EXPECT_EQ(bed.out(), 4U);
+}
+
+TEST(Loss, AnOverdueCallThatLaterOnesOvertookDoesNotPark) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 8; ++i) {
+    bed.arrive();
+    bed.step(100'000);
+    bed.finish(Ending::done);
+  }
+  bed.arrive();  // the one that is lost
+  bed.arrive();
+  ASSERT_EQ(bed.out(), 2U);
+  for (int i = 0; i < 20; ++i) {
+    bed.step(100'000);
+    while (bed.out() > 1) bed.finishLatest(Ending::done);
+    bed.arrive();
+  }
+  EXPECT_EQ(bed.calls(), 30U);  // each left at once although the lost one is still out
+}
+
+TEST(Loss, PartOfABatchLeftUnansweredIsCalledOff) {
+  Settings s = Bed::plain();
+  s.kinds[0].batch = 4;
+  s.mayCancel = true;
+  Bed bed(s);
+  bed.list({"a"});
+  bed.arrive();
+  bed.step(100'000);
+  bed.arrive();
+  bed.arrive();
+  bed.finish(Ending::done);  // the two held ones leave as one call
+  ASSERT_EQ(bed.out(), 2U);
+  bed.step(100'000);
+  bed.finish(Ending::done);
+  for (int i = 0; i < 20; ++i) bed.step(100'000);
+  EXPECT_EQ(bed.calledOff(), 1U);
+}
+
+TEST(Crowded, FailedConnectsBetweenCloseAnswersReturnWithoutARamp) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 30; ++i) bed.arrive();
+  bed.step(100'000);
+  bed.finish(Ending::done);
+  while (bed.out() > 0) bed.finish(Ending::connectFailed);
+  bed.stepUntilCall(3'000'000);
+  ASSERT_EQ(bed.out(), 1U);
+  const std::size_t before = bed.calls();
+  for (int i = 0; i < 10; ++i) {
+    bed.step(100'000);
+    bed.finish(Ending::done);
+  }
+  EXPECT_GE(bed.calls() - before, 10U);
+}
+
+TEST(Ramp, KeptAfterErrorsThoughAnswersComeInBetween) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 60; ++i) bed.arrive();
+  bed.step(100'000);
+  bed.finish(Ending::done);
+  while (bed.out() > 0) bed.finish(Ending::error);
+  bed.stepUntilCall(3'000'000);
+  ASSERT_EQ(bed.out(), 1U);
+  const std::size_t before = bed.calls();
+  for (int i = 0; i < 20; ++i) {
+    bed.step(100'000);
+    if (bed.out() > 0) bed.finish(Ending::done);
+  }
+  EXPECT_LE(bed.calls() - before, 3U);
+}
+
+TEST(Busy, RefusalsAloneForLongMeanShut) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  for (int i = 0; i < 40; ++i) bed.arrive();
+  std::size_t early = 0;
+  for (int i = 0; i < 500; ++i) {
+    if (bed.out() > 0) bed.finish(Ending::busy);
+    bed.step(20'000);
+    if (i == 249) early = bed.calls();
+  }
+  EXPECT_LE(bed.calls() - early, 4U);  // trials only, an aim apart
+}
+
+TEST(Partial, OneEndpointDownLeavesTheOtherInUse) {
+  Bed bed(Bed::plain());
+  bed.list({"a", "b"});
+  for (int i = 0; i < 60; ++i) {
+    bed.arrive();
+    bed.step(100'000);
+    while (bed.out() > 0) bed.finish(bed.oldest().target == "a" ? Ending::connectFailed : Ending::done);
+  }
+  EXPECT_GE(bed.ended(), 55U);
+}
+
+TEST(Room, TheLeastUrgentIsRefusedBeforeNewcomersAreTurnedAway) {
+  Settings s = Bed::plain();
+  s.maxOpen = 10;
+  s.classes.push_back({2'500'000, 16'000'000, 5, 0.3, Effect::safe, Group::all, 0});
+  Bed bed(s);
+  bed.list({});
+  const MessageId cheap = bed.arrive(0);
+  for (int i = 0; i < 9; ++i) bed.arrive(1);
+  EXPECT_TRUE(bed.refused(cheap));
+  EXPECT_EQ(bed.ended(), 1U);
+}
+
+TEST(Settings, ExtremesAreAnsweredOnce) {
+  Settings s = Bed::plain();
+  s.slots = s.maxOpen = s.maxAttempts = 1;
+  s.period = s.warmAfter = s.overloadFor = s.connectionIdle = 0;
+  s.classes[0].aim = 0;
+  s.classes[0].deadline = 0;
+  Bed bed(s);
+  bed.list({"a"});
+  const MessageId id = bed.arrive();
+  bed.step(0);
+  bed.step(5000);
+  EXPECT_TRUE(bed.refused(id));
+  EXPECT_EQ(bed.ended(), 1U);
+}
+
+TEST(Listing, ADestinationThatComesBackKeepsItsWait) {
+  Bed bed(Bed::plain());
+  bed.list({"a"});
+  bed.arrive();
+  bed.finish(Ending::busy, 2'000'000);
+  bed.list({});
+  bed.step(100'000);
+  bed.list({"a"});
+  for (int i = 0; i < 90; ++i) bed.step(20'000);
+  EXPECT_EQ(bed.calls(), 1U);
+}
+
+}  // namespace
+}  // namespace quilltide
