--- a/include/quilltide/sender.hpp
+++ b/include/quilltide/sender.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -81,11 +82,19 @@
 
 enum class Ending { done, error, busy, timedOut, connectFailed, reset, canceled, skipped };
 
+// What became of a message before its sender restarted.
+struct Recovered {
+  int attempts = 0;         // used so far
+  bool mayHaveRun = false;  // an attempt has no outcome that proves the contrary
+  Micros riskAge = 0;       // how long ago the first such attempt was sent
+  TargetId riskTarget;
+};
 struct Arrival {
   MessageId id = 0;
   int messageClass = 0;
   std::int64_t destination = 0;
   Micros left = 0;
+  std::optional<Recovered> recovered{};  // empty on the simulator
 };
 struct Outcome {
   MessageId id = 0;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -2,7 +2,7 @@
 // Ordinary path: each destination (each endpoint where routes are apart) has a Lane with a bulkhead of
 // tickets and a breaker. A call takes a ticket; without one it is stopped at once, counted, and its message
 // held. Errors, overdue calls and, while calls there run long or fail, stops trip the breaker, which parks
-// the lane and reopens it by trials. All else guards the rules or is an exception listed in docs/design.md.
+// the lane and reopens it by trials. All else guards the rules or is an exception, said where it stands.
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -65,8 +65,7 @@
     }
     aim_ = static_cast<double>(aim == kNever ? s_.period * 100 : aim);
     window_ = kWindowAims * aim_;
-    // Refused calls may use a limit up, and hundreds that come back soon keep it so: pause while that is
-    // cheap.
+    // Refused calls may use a limit up, and hundreds that come back soon keep it so: pause where it is cheap.
     double lost = 0, worth = 0;
     for (const ClassSettings& c : s_.classes) {
       const double span = static_cast<double>(std::max<Micros>(1, c.deadline - c.aim));
@@ -123,6 +122,7 @@
     d.lane.asked.add(now_, askedFor(), 1);
     for (auto& [target, ep] : d.endpoints)
       ep->lane.asked.add(now_, askedFor(), 1.0 / static_cast<double>(d.endpoints.size()));
+    if (a.recovered) m.resume(*a.recovered, now_, zoneOf(a.recovered->riskTarget));
     hold(m);
     messages_[m.id] = m;
   }
@@ -316,7 +316,8 @@
     std::vector<MessageId> due;
     for (auto& [id, m] : messages_) {
       const Micros left = m.deadline - now_;
-      if (m.out == 0 ? left <= pump_ || !mayGoAgain(m) : left <= -s_.answerSlack / 2) due.push_back(id);
+      const bool spent = !mayGoAgain(m) || m.attempts >= s_.maxAttempts;
+      if (m.out == 0 ? left <= pump_ || spent : left <= -s_.answerSlack / 2) due.push_back(id);
     }
     for (const MessageId id : due) end(messages_.at(id));
   }
@@ -687,9 +688,8 @@
         f.counted = true;
         losses_.add(now_, kCalmAims * aim_, 1);
       }
-      const bool longAgo = now_ > f.sent + 2 * limit;
       if (s_.mayCancel && (f.judged || f.stale || lossShare() > kLossShare ||
-                           (overtaken && longAgo && 4 * slotsTaken_ >= 3 * s_.slots))) {
+                           (overtaken && now_ > f.sent + 2 * limit && 4 * slotsTaken_ >= 3 * s_.slots))) {
         callOff(f, now_ - f.sent, limit);
       }
     }
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,125 @@
+#include "config.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <stdexcept>
+
+#include "wire.hpp"
+
+namespace quilltide::net {
+namespace {
+
+using nlohmann::json;
+
+std::string scalar(const json& value) {
+  return value.is_string() ? value.get<std::string>() : value.is_null() ? std::string() : value.dump();
+}
+
+// The settings are the wire's, nested: laid out flat as on the wire, they are read by the wire's own parser.
+void flatten(const json& value, const std::string& path, wire::Line& line) {
+  if (value.is_object()) {
+    for (const auto& [name, inner] : value.items())
+      flatten(inner, path.empty() ? name : path + "." + name, line);
+  } else if (value.is_array() && !value.empty() && value.front().is_object()) {
+    line.fields[path + ".count"] = std::to_string(value.size());
+    for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], path + "." + std::to_string(i), line);
+  } else if (value.is_array()) {
+    std::string joined;
+    for (const json& item : value) joined += (joined.empty() ? "" : ",") + scalar(item);
+    line.fields[path] = joined;
+  } else {
+    line.fields[path] = scalar(value);
+  }
+}
+
+tcp::endpoint parseAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
+  unsigned short port = 0;
+  const char* from = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
+  const auto [end, bad] = std::from_chars(from, text.data() + text.size(), port);
+  if (error || bad != std::errc() || end != text.data() + text.size()) {
+    throw std::runtime_error("not an address with a port: '" + text + "'");
+  }
+  return {address, port};
+}
+
+std::vector<std::string> namesIn(const json& list) {
+  std::vector<std::string> names;
+  for (const json& item : list) names.push_back(item.is_object() ? item.value("name", "") : scalar(item));
+  return names;
+}
+
+int indexOf(const std::vector<std::string>& names, const std::string& name) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  return at == names.end() ? 0 : static_cast<int>(at - names.begin());
+}
+
+std::size_t megabytes(const json& limits, const char* name, std::size_t fallback) {
+  const double value = limits.value(name, static_cast<double>(fallback) / 1e6);
+  if (!(value > 0)) throw std::runtime_error(std::string("limits.") + name + " is not above 0");
+  return static_cast<std::size_t>(value * 1e6);
+}
+
+}  // namespace
+
+Directory parseDirectory(const json& list, const Names& names) {
+  Directory out;
+  out.rev = list.at("rev").get<std::int64_t>();
+  out.view.scope = list.at("all").get<bool>() ? ViewScope::all : ViewScope::changes;
+  for (const json& item : list.at("targets")) {
+    TargetEntry e;
+    e.target = item.at("uid").get<std::string>();
+    e.destination = item.at("pod_group").get<std::int64_t>();
+    e.kind = indexOf(names.kinds, item.value("model", ""));
+    e.zone = indexOf(names.zones, item.value("az", ""));
+    e.rating = item.value("capacity_hint", 1.0);
+    const std::string state = item.value("state", "active");
+    e.listing = state == "leaving" ? Listing::draining : state == "left" ? Listing::gone : Listing::inService;
+    if (e.listing != Listing::gone || item.contains("endpoint"))
+      out.addresses[e.target] = parseAddress(item.at("endpoint").get<std::string>());
+    out.view.entries.push_back(std::move(e));
+  }
+  return out;
+}
+
+Config parseConfig(const json& text, const std::string& stateFolder) {
+  try {
+    Config c;
+    c.name = text.at("name").get<std::string>();
+    c.listen = parseAddress(text.at("listen").get<std::string>());
+    c.discovery = parseAddress(text.at("discovery").get<std::string>());
+    c.stateFolder = stateFolder;
+    if (text.contains("seed")) c.seed = std::stoull(scalar(text.at("seed")), nullptr, 16);
+    const json limits = text.value("limits", json::object());
+    c.sockets = limits.value("sockets", c.sockets);
+    c.memoryBytes = megabytes(limits, "memory_mb", c.memoryBytes);
+    c.diskBytes = megabytes(limits, "disk_mb", c.diskBytes);
+    const json& settings = text.at("settings");
+    wire::Line line;
+    flatten(settings, "", line);
+    c.settings = wire::parseSettings(line);
+    if (c.settings.classes.empty()) throw std::runtime_error("settings name no class");
+    if (c.settings.period <= 0) throw std::runtime_error("settings.periodUs is not above 0");
+    c.names.classes = namesIn(settings.at("classes"));
+    c.names.kinds = namesIn(settings.value("machineTypes", json::array()));
+    c.names.zones = namesIn(settings.value("dcs", json::array()));
+    if (text.contains("known")) c.known = parseDirectory(text.at("known"), c.names);
+    c.known.view.scope = ViewScope::all;
+    return c;
+  } catch (const std::exception& problem) {
+    throw std::runtime_error(std::string("the configuration cannot be used: ") + problem.what());
+  }
+}
+
+Config readConfig(const std::string& path, const std::string& stateFolder) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("cannot open the configuration '" + path + "'");
+  const json text = json::parse(file, nullptr, false);
+  if (text.is_discarded()) throw std::runtime_error("the configuration '" + path + "' is not JSON");
+  return parseConfig(text, stateFolder);
+}
+
+}  // namespace quilltide::net
--- /dev/null
+++ b/src/net/journal.cpp
@@ -0,0 +1,273 @@
+#include "journal.hpp"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/crc.hpp>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+namespace quilltide::net {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kHeader = 8;             // length and checksum
+constexpr std::size_t kLongest = 1 << 20;      // a longer record is a torn one
+constexpr std::size_t kAboutAttempts = 1'500;  // room for the attempts and the end of one message
+constexpr std::size_t kSpare = 100'000;        // file room kept for what is already owed
+constexpr std::size_t kBlock = 512;
+constexpr std::size_t kEndsKept = 4'096;  // ids that are known to be over
+
+std::uint32_t checksum(const char* data, std::size_t size) {
+  boost::crc_32_type crc;
+  crc.process_bytes(data, size);
+  return crc.checksum();
+}
+
+std::string pack(const json& record) {
+  std::string out;
+  json::to_cbor(record, out);
+  return out;
+}
+
+std::string framed(const std::string& payload) {
+  const std::uint32_t head[2] = {static_cast<std::uint32_t>(payload.size()),
+                                 checksum(payload.data(), payload.size())};
+  return std::string(reinterpret_cast<const char*>(head), kHeader) + payload;
+}
+
+json::binary_t bytesOf(const std::string& text) {
+  return json::binary_t(std::vector<std::uint8_t>(text.begin(), text.end()));
+}
+std::string textOf(const json& value) {
+  const auto& bytes = value.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+// Ids and keys are any bytes that a client sent, so they travel as binary.
+std::string acceptRecord(const Owed& m) {
+  return pack(json::array(
+      {"accept", bytesOf(m.id), bytesOf(m.key), bytesOf(m.body), m.messageClass, m.destination, m.deadline}));
+}
+std::string attemptRecord(const std::string& id, int number, const Attempt& a) {
+  return pack(json::array({"attempt", bytesOf(id), number, a.target, a.sent}));
+}
+std::string neverRanRecord(const std::string& id, int number) {
+  return pack(json::array({"never_ran", bytesOf(id), number}));
+}
+std::string oweRecord(const std::string& id, const Notice& n) {
+  return pack(json::array({"owe", bytesOf(id), n.handedBack, n.retryInMs}));
+}
+std::string endRecord(const std::string& id) { return pack(json::array({"end", bytesOf(id)})); }
+
+std::size_t mostBytes(std::size_t id, std::size_t key, std::size_t body) {
+  return body + key + 16 * id + kAboutAttempts;
+}
+std::size_t mostBytes(const Owed& m) { return mostBytes(m.id.size(), m.key.size(), m.body.size()); }
+
+bool writeAll(int file, const std::string& bytes) {
+  std::size_t done = 0;
+  while (done < bytes.size()) {
+    const ssize_t n = ::write(file, bytes.data() + done, bytes.size() - done);
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return false;
+    done += static_cast<std::size_t>(n);
+  }
+  return true;
+}
+
+}  // namespace
+
+Journal::Journal(const std::string& folder, std::size_t diskBytes)
+    : path_(folder + "/journal"), diskBytes_(diskBytes - std::min(diskBytes, 2 * kBlock)) {
+  ::unlink((path_ + ".new").c_str());  // a compaction that did not get as far as its rename
+  file_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_APPEND, 0644);
+  if (file_ < 0) throw std::runtime_error("cannot open '" + path_ + "': " + std::strerror(errno));
+  replay();
+}
+
+Journal::~Journal() {
+  if (file_ >= 0) ::close(file_);
+}
+
+void Journal::replay() {
+  std::ifstream in(path_, std::ios::binary);
+  std::stringstream all;
+  all << in.rdbuf();
+  const std::string bytes = all.str();
+  std::size_t at = 0;
+  while (bytes.size() - at >= kHeader) {
+    std::uint32_t head[2];
+    std::memcpy(head, bytes.data() + at, kHeader);
+    if (head[0] > kLongest || head[0] > bytes.size() - at - kHeader) break;
+    if (checksum(bytes.data() + at + kHeader, head[0]) != head[1]) break;
+    try {
+      apply(bytes.substr(at + kHeader, head[0]));
+    } catch (const std::exception& problem) {
+      std::cerr << "journal: a record of no use at byte " << at << ": " << problem.what() << std::endl;
+    }
+    at += kHeader + head[0];
+  }
+  if (at < bytes.size()) {
+    std::cerr << "journal: a torn tail of " << bytes.size() - at << " bytes was cut" << std::endl;
+    if (::ftruncate(file_, static_cast<off_t>(at)) != 0)
+      throw std::runtime_error("cannot cut '" + path_ + "': " + std::strerror(errno));
+  }
+  fileBytes_ = at;
+}
+
+void Journal::apply(const std::string& payload) {
+  const json record = json::from_cbor(payload);
+  const std::string what = record.at(0).get<std::string>();
+  const std::string id = textOf(record.at(1));
+  if (what == "accept") {
+    auto m = std::make_unique<Owed>();
+    m->id = id;
+    m->key = textOf(record.at(2));
+    m->body = textOf(record.at(3));
+    m->messageClass = record.at(4).get<int>();
+    m->destination = record.at(5).get<std::int64_t>();
+    m->deadline = record.at(6).get<Micros>();
+    reserved_ += mostBytes(*m);
+    owed_[id] = std::move(m);
+    return;
+  }
+  if (what == "end") {
+    if (Owed* m = find(id)) reserved_ -= mostBytes(*m);
+    owed_.erase(id);
+    rememberEnd(id);
+    return;
+  }
+  Owed* m = find(id);
+  if (m == nullptr) return;
+  if (what == "attempt") {
+    m->attempts[record.at(2).get<int>()] = {record.at(3).get<std::string>(), record.at(4).get<Micros>(),
+                                            false};
+  } else if (what == "never_ran") {
+    m->attempts[record.at(2).get<int>()].neverRan = true;
+  } else if (what == "owe") {
+    m->notice = Notice{record.at(2).get<bool>(), record.at(3).get<std::int64_t>()};
+  }
+}
+
+void Journal::rememberEnd(const std::string& id) {
+  if (!ended_.insert(id).second) return;
+  if (endedOrder_.size() < kEndsKept) {
+    endedOrder_.push_back(id);
+    return;
+  }
+  ended_.erase(endedOrder_[endedNext_]);
+  endedOrder_[endedNext_] = id;
+  endedNext_ = (endedNext_ + 1) % kEndsKept;
+}
+
+// Old and new file stand side by side while one replaces the other, and both count.
+bool Journal::hasRoom(std::size_t idBytes, std::size_t keyBytes, std::size_t bodyBytes) const {
+  return 2 * (reserved_ + mostBytes(idBytes, keyBytes, bodyBytes)) + kSpare <= diskBytes_;
+}
+
+Owed* Journal::find(const std::string& id) {
+  const auto at = owed_.find(id);
+  return at == owed_.end() ? nullptr : at->second.get();
+}
+
+void Journal::put(const std::string& payload) { pending_ += framed(payload); }
+
+Owed& Journal::accept(Owed message) {
+  put(acceptRecord(message));
+  reserved_ += mostBytes(message);
+  auto& place = owed_[message.id];
+  place = std::make_unique<Owed>(std::move(message));
+  return *place;
+}
+
+void Journal::attempt(Owed& message, int number, const TargetId& target, Micros wallNow) {
+  Attempt& a = message.attempts[number] = {target, wallNow, false};
+  put(attemptRecord(message.id, number, a));
+}
+
+void Journal::neverRan(Owed& message, int number) {
+  message.attempts[number].neverRan = true;
+  put(neverRanRecord(message.id, number));
+}
+
+void Journal::owe(Owed& message, const Notice& notice) {
+  message.notice = notice;
+  put(oweRecord(message.id, notice));
+}
+
+void Journal::end(const std::string& given) {
+  const std::string id = given;  // it may be the message's own
+  Owed* m = find(id);
+  if (m == nullptr) return;
+  reserved_ -= mostBytes(*m);
+  owed_.erase(id);
+  rememberEnd(id);
+  put(endRecord(id));
+}
+
+bool Journal::append(const std::string& bytes) {
+  if (writeAll(file_, bytes)) {
+    fileBytes_ += bytes.size();
+    return true;
+  }
+  const int why = errno;
+  if (::ftruncate(file_, static_cast<off_t>(fileBytes_)) != 0) rewrite_ = true;
+  std::cerr << "journal: a write failed: " << std::strerror(why) << std::endl;
+  return false;
+}
+
+bool Journal::commit() {
+  if (pending_.empty() && !rewrite_) return true;
+  const bool full = fileBytes_ + pending_.size() + reserved_ + kBlock > diskBytes_;
+  const bool wasteful = fileBytes_ > 4 * (reserved_ + kSpare);
+  if (!rewrite_ && !full && !wasteful && append(pending_)) {
+    pending_.clear();
+    return true;
+  }
+  if (compact()) return true;
+  // What is known here is right and the file lags behind it: the next commit writes all of it anew.
+  rewrite_ = true;
+  pending_.clear();
+  return false;
+}
+
+bool Journal::compact() {
+  std::string all;
+  for (const auto& [id, m] : owed_) {
+    all += framed(acceptRecord(*m));
+    for (const auto& [number, a] : m->attempts) {
+      all += framed(attemptRecord(id, number, a));
+      if (a.neverRan) all += framed(neverRanRecord(id, number));
+    }
+    if (m->notice) all += framed(oweRecord(id, *m->notice));
+  }
+  const std::string fresh = path_ + ".new";
+  if (fileBytes_ + all.size() > diskBytes_) {
+    std::cerr << "journal: no room to compact" << std::endl;
+    return false;
+  }
+  const int next = ::open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC | O_APPEND, 0644);
+  if (next < 0) return false;
+  if (!writeAll(next, all) || ::rename(fresh.c_str(), path_.c_str()) != 0) {
+    std::cerr << "journal: compaction failed: " << std::strerror(errno) << std::endl;
+    ::close(next);
+    ::unlink(fresh.c_str());
+    return false;
+  }
+  ::close(file_);
+  file_ = next;
+  fileBytes_ = all.size();
+  pending_.clear();
+  rewrite_ = false;
+  return true;
+}
+
+}  // namespace quilltide::net
--- /dev/null
+++ b/src/net/targets.cpp
@@ -0,0 +1,377 @@
+#include "targets.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <cstdio>
+#include <optional>
+#include <sstream>
+
+namespace quilltide::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kAnswerBytes = 64 * 1024;
+constexpr auto kIdleMargin = std::chrono::milliseconds(500);  // a request must not cross the target's close
+
+Micros since(Clock::time_point from) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - from).count();
+}
+
+std::optional<std::int64_t> wholeNumber(boost::beast::string_view text) {
+  std::int64_t value = 0;
+  const auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (bad != std::errc() || end != text.data() + text.size() || value < 0) return std::nullopt;
+  return value;
+}
+
+std::string seconds(Micros time) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / 1e6);
+  return text;
+}
+
+}  // namespace
+
+class Targets::Line {
+ public:
+  explicit Line(asio::io_context& io) : socket(io) {}
+  tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  tcp::endpoint peer;
+  Clock::time_point lastUse = Clock::now();
+  int use = 0;  // tells a watch on an idle connection whether it is still the same rest
+
+  // A byte that nobody asked for, or the peer's end: no request can be answered on this one.
+  bool usable() {
+    char byte;
+    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+  void close() {
+    error_code ignored;
+    socket.close(ignored);
+  }
+};
+
+// One call: its request, its answer, and what became of each of its parcels.
+class Targets::Exchange : public std::enable_shared_from_this<Targets::Exchange> {
+ public:
+  Exchange(Targets& home, TargetId target, std::vector<Parcel> parcels)
+      : home_(home), target_(std::move(target)), parcels_(std::move(parcels)), timer_(home.io_) {
+    told_.resize(parcels_.size(), false);
+    parser_.body_limit(kAnswerBytes);
+  }
+
+  void start(std::shared_ptr<Line> line, const tcp::endpoint& address) {
+    auto self = shared_from_this();
+    prepare();
+    arm();
+    if (line) {
+      line_ = std::move(line);
+      return send();
+    }
+    line_ = std::make_shared<Line>(home_.io_);
+    line_->peer = address;
+    connectBy_ = started_ + std::chrono::microseconds(home_.settings_.connectTimeout);
+    arm();
+    line_->socket.async_connect(address, [this, self](error_code error) {
+      if (over_) return;
+      if (error) return breakOff();
+      error_code ignored;
+      line_->socket.set_option(tcp::no_delay(true), ignored);
+      connectBy_.reset();
+      send();
+    });
+  }
+
+  bool holds(MessageId handle, int attempt) const {
+    return std::any_of(parcels_.begin(), parcels_.end(),
+                       [&](const Parcel& p) { return p.handle == handle && p.attempt == attempt; });
+  }
+
+  // The connection closes once nothing on it is waited for any more: that tells the target.
+  void callOff(MessageId handle, int attempt) {
+    for (std::size_t i = 0; i < parcels_.size(); ++i) {
+      if (parcels_[i].handle == handle && parcels_[i].attempt == attempt)
+        tell(i, written_ ? Ending::canceled : Ending::connectFailed);
+    }
+    closeIfTold();
+  }
+
+  void abandon() {
+    over_ = true;
+    timer_.cancel();
+    line_->close();
+  }
+
+ private:
+  void prepare() {
+    request_.method(http::verb::post);
+    request_.version(11);
+    request_.set(http::field::host, target_);
+    Micros longest = 0;
+    for (const Parcel& p : parcels_) longest = std::max(longest, p.timeout);
+    request_.set("X-Deadline", seconds(longest));
+    if (parcels_.size() == 1) {
+      request_.target("/receive");
+      request_.set("X-Request-Id", parcels_.front().id);
+      if (!parcels_.front().key.empty()) request_.set("Idempotency-Key", parcels_.front().key);
+      request_.body() = std::move(parcels_.front().body);
+    } else {
+      request_.target("/receive-many");
+      for (Parcel& p : parcels_) {
+        request_.body() += p.id + ' ' + (p.key.empty() ? "-" : p.key) + ' ' + std::to_string(p.body.size()) +
+                           "\r\n" + p.body + "\r\n";
+        p.body.clear();
+      }
+    }
+    request_.prepare_payload();
+  }
+
+  // Wakes at the next time that something is up: the connect, or the first parcel still waited for.
+  void arm() {
+    std::optional<Clock::time_point> next = connectBy_;
+    for (std::size_t i = 0; i < parcels_.size(); ++i) {
+      const auto due = started_ + std::chrono::microseconds(parcels_[i].timeout);
+      if (!told_[i] && (!next || due < *next)) next = due;
+    }
+    if (!next) return;
+    timer_.expires_at(*next);
+    timer_.async_wait([this, self = shared_from_this()](error_code error) {
+      if (error || over_) return;
+      const auto now = Clock::now();
+      if (connectBy_ && now >= *connectBy_) return breakOff();
+      for (std::size_t i = 0; i < parcels_.size(); ++i) {
+        if (now >= started_ + std::chrono::microseconds(parcels_[i].timeout))
+          tell(i, written_ ? Ending::timedOut : Ending::connectFailed);
+      }
+      if (!closeIfTold()) arm();
+    });
+  }
+
+  void send() {
+    auto self = shared_from_this();
+    http::async_write(line_->socket, request_, [this, self](error_code error, std::size_t) {
+      if (over_) return;
+      if (error) return breakOff();
+      written_ = true;
+      http::async_read(line_->socket, line_->buffer, parser_, [this, self](error_code failed, std::size_t) {
+        if (over_) return;
+        if (failed) return breakOff();
+        answered();
+      });
+    });
+  }
+
+  // Before its last byte was written a call cannot have run; afterwards nobody knows.
+  void breakOff() {
+    over_ = true;
+    timer_.cancel();
+    line_->close();
+    for (std::size_t i = 0; i < parcels_.size(); ++i)
+      tell(i, written_ ? Ending::reset : Ending::connectFailed);
+    home_.finished(shared_from_this());
+  }
+
+  bool closeIfTold() {
+    if (std::find(told_.begin(), told_.end(), false) != told_.end()) return false;
+    abandon();
+    home_.finished(shared_from_this());
+    return true;
+  }
+
+  void tell(std::size_t i, Ending ending, bool settled = false, Micros wait = 0, bool noSlot = false) {
+    if (told_[i]) {
+      if (ending == Ending::done) home_.late_(parcels_[i].handle);
+      return;
+    }
+    told_[i] = true;
+    Outcome o;
+    o.id = parcels_[i].handle;
+    o.attempt = parcels_[i].attempt;
+    o.target = target_;
+    o.ending = ending;
+    o.duration = since(started_);
+    o.wait = wait;
+    o.settled = settled;
+    o.noSlot = noSlot;
+    home_.outcome_(o);
+  }
+
+  void answered() {
+    over_ = true;
+    timer_.cancel();
+    const auto& answer = parser_.get();
+    const Micros wait = wholeNumber(answer["X-Retry-In-Ms"]).value_or(0) * 1000;
+    const unsigned status = answer.result_int();
+    if (parser_.keep_alive() && line_->buffer.size() == 0) {
+      home_.giveBack(target_, line_);
+    } else {
+      line_->close();
+    }
+    if (status == 200 && parcels_.size() > 1) {
+      tellLines(answer.body(), wait);
+    } else {
+      const bool noSlot = status == 503 && answer["X-No-Slot"] == "1";
+      for (std::size_t i = 0; i < parcels_.size(); ++i) {
+        if (status == 200) {
+          tell(i, Ending::done, true, wait);
+        } else if (status == 410) {
+          tell(i, Ending::skipped, true, wait);
+        } else if (noSlot || status == 504 || status == 400 || status == 413) {
+          tell(i, Ending::skipped, false, wait, noSlot);
+        } else if (status == 429 || status == 503) {
+          tell(i, Ending::busy, false, wait);
+        } else {
+          tell(i, Ending::error, false, wait);
+        }
+      }
+    }
+    home_.finished(shared_from_this());
+  }
+
+  // A parcel whose line is missing or makes no sense may have run.
+  void tellLines(const std::string& body, Micros wait) {
+    std::map<std::string, std::string> ends;
+    std::istringstream lines(body);
+    for (std::string line; std::getline(lines, line);) {
+      if (!line.empty() && line.back() == '\r') line.pop_back();
+      const std::size_t space = line.find(' ');
+      if (space != std::string::npos) ends[line.substr(0, space)] = line.substr(space + 1);
+    }
+    for (std::size_t i = 0; i < parcels_.size(); ++i) {
+      const auto at = ends.find(parcels_[i].id);
+      const std::string end = at == ends.end() ? "" : at->second;
+      if (end == "ok") {
+        tell(i, Ending::done, true, wait);
+      } else if (end == "later") {
+        tell(i, Ending::busy, false, wait);
+      } else if (end == "gone") {
+        tell(i, Ending::skipped, true, wait);
+      } else if (end == "exhausted") {
+        tell(i, Ending::skipped, false, wait);
+      } else {
+        tell(i, Ending::error, false, wait);
+      }
+    }
+  }
+
+  Targets& home_;
+  TargetId target_;
+  std::vector<Parcel> parcels_;
+  std::vector<bool> told_;
+  asio::steady_timer timer_;
+  Clock::time_point started_ = Clock::now();
+  std::optional<Clock::time_point> connectBy_;
+  std::shared_ptr<Line> line_;
+  http::request<http::string_body> request_;
+  http::response_parser<http::string_body> parser_;
+  bool written_ = false, over_ = false;
+};
+
+Targets::Targets(asio::io_context& io, const Settings& settings, OnOutcome outcome, OnLate late)
+    : io_(io), settings_(settings), outcome_(std::move(outcome)), late_(std::move(late)) {}
+
+Targets::~Targets() {
+  *alive_ = false;
+  for (const auto& exchange : calls_) exchange->abandon();
+}
+
+void Targets::learn(const Directory& directory) {
+  for (const auto& [target, address] : directory.addresses) addresses_[target] = address;
+  for (const TargetEntry& e : directory.view.entries) kinds_[e.target] = e.kind;
+}
+
+std::size_t Targets::batchOf(const TargetId& target) const {
+  const auto at = kinds_.find(target);
+  if (at == kinds_.end() || static_cast<std::size_t>(at->second) >= settings_.kinds.size()) return 1;
+  return static_cast<std::size_t>(std::max(1, settings_.kinds[static_cast<std::size_t>(at->second)].batch));
+}
+
+void Targets::call(const TargetId& target, std::vector<Parcel> parcels) {
+  const auto at = addresses_.find(target);
+  if (at == addresses_.end()) {  // outcomes never come inside the round that sent the call
+    for (const Parcel& p : parcels) {
+      Outcome o;
+      o.id = p.handle;
+      o.attempt = p.attempt;
+      o.target = target;
+      o.ending = Ending::connectFailed;
+      later(o);
+    }
+    return;
+  }
+  auto exchange = std::make_shared<Exchange>(*this, target, std::move(parcels));
+  calls_.insert(exchange);
+  exchange->start(takeIdle(target, at->second), at->second);
+}
+
+void Targets::later(Outcome outcome) {
+  asio::post(io_, [this, alive = alive_, outcome] {
+    if (*alive) outcome_(outcome);
+  });
+}
+
+void Targets::callOff(MessageId handle, int attempt) {
+  for (const auto& exchange : calls_) {
+    if (!exchange->holds(handle, attempt)) continue;
+    asio::post(io_, [exchange, handle, attempt, alive = alive_] {
+      if (*alive) exchange->callOff(handle, attempt);
+    });
+    return;
+  }
+}
+
+void Targets::finished(const std::shared_ptr<Exchange>& exchange) { calls_.erase(exchange); }
+
+std::shared_ptr<Targets::Line> Targets::takeIdle(const TargetId& target, const tcp::endpoint& address) {
+  auto& pool = idle_[target];
+  const auto keep = std::chrono::microseconds(settings_.connectionIdle) - kIdleMargin;
+  while (!pool.empty()) {
+    std::shared_ptr<Line> line = pool.back();
+    pool.pop_back();
+    ++line->use;
+    error_code ignored;
+    line->socket.cancel(ignored);
+    const bool rested = settings_.connectionIdle > 0 && Clock::now() - line->lastUse >= keep;
+    if (!rested && line->peer == address && line->usable()) return line;
+    line->close();
+  }
+  return nullptr;
+}
+
+void Targets::giveBack(const TargetId& target, std::shared_ptr<Line> line) {
+  line->lastUse = Clock::now();
+  const int use = ++line->use;
+  line->socket.async_wait(tcp::socket::wait_read, [this, alive = alive_, target, line, use](error_code) {
+    if (!*alive || line->use != use) return;
+    line->close();
+    std::erase(idle_[target], line);
+  });
+  idle_[target].push_back(std::move(line));
+}
+
+void Targets::closeIdle(const TargetId& target) {
+  for (const auto& line : idle_[target]) {
+    ++line->use;
+    line->close();
+  }
+  idle_.erase(target);
+}
+
+std::size_t Targets::idle(const TargetId& target) const {
+  const auto at = idle_.find(target);
+  return at == idle_.end() ? 0 : at->second.size();
+}
+
+}  // namespace quilltide::net
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -123,6 +123,16 @@
   int riskZone = -1;
   TargetId riskTarget;
   bool stopped = false;  // counted as a ticket stop since its last call
+
+  // Attempts from before a restart bind like this sender's own.
+  void resume(const Recovered& past, Micros now, int zone) {
+    attempts = past.attempts;
+    mayHaveRun = past.mayHaveRun;
+    if (!mayHaveRun) return;
+    firstRisk = now - past.riskAge;
+    riskZone = zone;
+    riskTarget = past.riskTarget;
+  }
 };
 
 struct Flight {
