--- a/include/quilltide/sender.hpp
+++ b/include/quilltide/sender.hpp
@@ -118,11 +118,14 @@
 struct TimerDue {
   std::int64_t token = 0;
 };
+struct Draining {  // this sender ends after so long: calls that would not end by then wait for its successor
+  Micros left = 0;
+};
 struct PeerNote {
   int from = 0;
   std::string bytes;
 };
-using Event = std::variant<Arrival, Outcome, DirectoryView, Gone, TimerDue, PeerNote>;
+using Event = std::variant<Arrival, Outcome, DirectoryView, Gone, TimerDue, Draining, PeerNote>;
 
 struct Call {
   MessageId id;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -46,6 +46,8 @@
 constexpr double kMost = 0.6;        // and the share of them that must be, about the mean of usual durations
 constexpr double kPumpAims = 0.01;   // what waits is looked at again, in shortest aims; four rounds at least
 constexpr double kFirstTickets = 1;  // the design: tickets start at one
+constexpr double kDrainUsual = 2;    // a call must fit so many usual durations before the sender's own end
+constexpr double kDrainUnsafe = 6;   // and so many where an unknown end would be its last
 
 enum class Gate { go, trial, noTicket, shut };
 
@@ -95,8 +97,7 @@
     makeRoom();
     giveBackIdle();
     if (wakeAt_ <= now_) wakeAt_ = 0;
-    const bool busy = !messages_.empty() || !flights_.empty();
-    Micros wake = busy ? now_ + pump_ : kNever;
+    Micros wake = messages_.empty() && flights_.empty() ? kNever : now_ + pump_;
     if (s_.directoryOnRequest && !watching_) wake = std::min(wake, std::max(nextWatch_, now_ + pump_));
     if (wake < kNever && (wakeAt_ == 0 || wakeAt_ > wake)) {
       out_.push_back(SetTimer{std::max<Micros>(1, wake - now_), 0});
@@ -242,6 +243,8 @@
     if (at != messages_.end()) forget(at->second);
   }
 
+  void on(const Draining& d) { endsAt_ = now_ + d.left; }
+
   // A timer's round itself does what was waiting; notes may lie or be lost, and hundreds may hurry at one.
   template <typename Other>
   void on(const Other&) {}
@@ -295,14 +298,13 @@
   double worthAt(const Message& m, Micros when) const {
     if (when >= m.deadline) return 0;
     const ClassSettings& c = classOf(m);
-    const double worth = c.worth;
     const double late = static_cast<double>(when - m.handedIn - c.aim);
-    if (late <= 0) return worth;
+    if (late <= 0) return c.worth;
     if (s_.decay == Decay::halves) {
-      return worth * std::max(c.lateWorth, std::exp2(-late / std::max<double>(1, c.aim)));
+      return c.worth * std::max(c.lateWorth, std::exp2(-late / std::max<double>(1, c.aim)));
     }
     const double span = static_cast<double>(std::max<Micros>(1, c.deadline - c.aim));
-    return worth * (1 - (1 - c.lateWorth) * std::min(1.0, late / span));
+    return c.worth * (1 - (1 - c.lateWorth) * std::min(1.0, late / span));
   }
 
   // What waiting costs: worth now, less what is likely still got for it one aim later.
@@ -535,8 +537,7 @@
     }
     if (now_ - lane.lastCut > static_cast<Micros>(kRefusedHold * aim_)) {
       lane.lastCut = now_;
-      double now = rate(lane);
-      if (lane.pace > 0) now = std::min(now, lane.pace);
+      double now = lane.pace > 0 ? std::min(rate(lane), lane.pace) : rate(lane);
       now = std::max(now, kErrorShare * lane.rating / s_.fleetSize);
       lane.pace = std::max(kPaceCut * now, std::min(1.0, kFleetTrials / s_.fleetSize) * kSecond / aim_);
       lane.paced = Bucket{1, now_};  // the hold or the wait is over before it is used
@@ -617,8 +618,7 @@
     for (auto& [kind, keep] : keeps_) {
       while (!keep.unused.empty() && now_ - keep.unused.front().first >= keepFor(keep)) {
         const auto at = endpoints_.find(keep.unused.front().second);
-        const bool used = at == endpoints_.end() || at->second.lastUse > keep.unused.front().first;
-        if (!used) closeIdle(at->second);
+        if (at != endpoints_.end() && at->second.lastUse <= keep.unused.front().first) closeIdle(at->second);
         keep.unused.pop_front();
       }
     }
@@ -738,6 +738,8 @@
       }
       if (at == Gate::trial && !mayTry(m, main)) continue;
       const double usual = std::max(usualOf(ep.lane), 1.0) * std::max(1.0, ep.lane.slowness);
+      const double room = usual * (classOf(m).effect == Effect::unsafe ? kDrainUnsafe : kDrainUsual);
+      if (static_cast<double>(endsAt_ - now_) < room) continue;
       double cost = usual * (1 + 0.5 * ep.inFlight) + (warm(ep) ? 0 : 0.5 * usual);
       if (ep.lane.streak > 0)
         cost += aim_;  // a failed endpoint must not take the next call from one that answers
@@ -849,11 +851,10 @@
     f.overdueAt = now_ + static_cast<Micros>(
                              std::max(kOverdue * (usual > 0 ? usual : usualCall_), usual > 0 ? 0 : aim_));
     flight_ = ++nextFlight_;
-    flights_[flight_] = f;
+    Flight& flight = flights_[flight_] = f;
     slotsTaken_ += 1;
     allCalls_.add(now_, kCalmAims * aim_, 1);
     d.inFlight += 1;
-    Flight& flight = flights_[flight_];
     if (ep.inFlight == 0 && now_ - ep.lastUse >= s_.connectionIdle) ep.connections = 0;
     if (ep.connections > ep.inFlight) flight.idle = now_ - ep.lastUse;
     if (flight.idle >= keepFor(keepOf(ep))) {
@@ -880,7 +881,7 @@
   Settings s_;
   Random random_;
   double aim_ = 1, window_ = 1, firstPause_ = 1;
-  Micros startedAt_ = -1, pump_ = 1, now_ = 0, wakeAt_ = 0, nextWatch_ = 0;
+  Micros startedAt_ = -1, endsAt_ = kNever, pump_ = 1, now_ = 0, wakeAt_ = 0, nextWatch_ = 0;
   bool watching_ = false, asked_ = false;
   Fading allCalls_, losses_;
   std::deque<std::pair<Micros, double>> recent_;  // the last calls: when they ended, how slow they were
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,7 @@
 #include "net/forwarder.hpp"
 
 namespace {
-constexpr auto kDrain = std::chrono::milliseconds(3'500);  // SIGKILL comes 3.7 s after SIGTERM at the soonest
+constexpr auto kDrain = std::chrono::milliseconds(3'600);  // SIGKILL comes 3.7 s after SIGTERM at the soonest
 }
 
 int main() {
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -10,6 +10,7 @@
 using boost::system::error_code;
 
 constexpr Micros kRetryWrite = 50'000;
+constexpr auto kLastAnswers = std::chrono::milliseconds(30);
 
 Micros steadyNow() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -58,12 +59,19 @@
   intake_.listen();
 }
 
+// New work goes on to be journalled: few clients hand in again what is refused, and the successor has it.
 void Forwarder::drain(std::chrono::milliseconds until, std::function<void()> drained) {
+  events_.push_back(Draining{std::chrono::duration_cast<std::chrono::microseconds>(until).count()});
+  schedule(steadyNow());
   drain_.expires_after(until);
   drain_.async_wait([this, drained = std::move(drained)](error_code error) {
     if (error) return;
-    intake_.stopListening();
-    drained();
+    intake_.finish();
+    round();
+    drain_.expires_after(kLastAnswers);
+    drain_.async_wait([drained](error_code cancelled) {
+      if (!cancelled) drained();
+    });
   });
 }
 
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -68,6 +68,11 @@
     read();
   }
 
+  void finish() {
+    ending_ = true;
+    flush();
+  }
+
   bool waiting() const { return !answers_.empty() || !out_.empty() || reader_->len > reader_->pos; }
 
   void answer(std::size_t slot, const std::string& reply) {
@@ -203,10 +208,11 @@
   accept();
 }
 
-void Intake::stopListening() {
+void Intake::finish() {
   error_code ignored;
   pause_.cancel();
   acceptor_.close(ignored);
+  for (const auto& client : std::list<std::shared_ptr<Client>>(clients_)) client->finish();
 }
 
 // With every place taken the longest unused client makes room, but never one that waits for an answer.
@@ -229,7 +235,7 @@
     return;
   }
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (!acceptor_.is_open()) return;
+    if (error == asio::error::operation_aborted) return;
     if (error) {  // out of descriptors, or the client has gone: neither may end the service
       std::cerr << "intake: accept: " << error.message() << std::endl;
       if (error == asio::error::no_descriptors) dropIdle();
--- a/src/net/intake.hpp
+++ b/src/net/intake.hpp
@@ -30,7 +30,8 @@
 
   void listen();  // throws if the address is not to be had
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
-  void stopListening();
+  // Takes nothing more; what was asked is still answered, and then its connection closed.
+  void finish();
   std::size_t clients() const { return clients_.size(); }
 
  private:
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,5 +1,7 @@
 // The forwarder as its clients, targets and discovery see it, over loopback sockets.
 #include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <fstream>
@@ -420,6 +422,88 @@
   EXPECT_TRUE(target.requests.empty());
 }
 
+// SIGTERM: work goes on to be taken on, but no call starts that cannot end in time; its message waits on disk
+// for the next process, which delivers it though it must not take effect twice.
+TEST_F(NetBed, DrainsWithoutStartingWhatCannotEnd) {
+  config["settings"]["familyInfo"]["kindBatch"] = {1};
+  start();
+  client->enqueue("m1", "unsafe");
+  EXPECT_EQ(client->line(), "+OK");
+  ASSERT_TRUE(until([&] { return target.requests.size() == 1 && owed() == 0; }));
+  target.handler = [](Link&) {};
+  client->enqueue("out", "safe");
+  EXPECT_EQ(client->line(), "+OK");
+  ASSERT_TRUE(until([&] { return target.requests.size() == 2; }));
+  bool drained = false;
+  forwarder->drain(std::chrono::milliseconds(1), [&] { drained = true; });
+  client->enqueue("m2", "unsafe");
+  EXPECT_EQ(client->line(), "+OK");
+  ASSERT_TRUE(until([&] { return drained && client->closed; }));
+  EXPECT_EQ(target.requests.size(), 2U);
+  kill();
+  target.handler = [](Link& link) { link.write(FakeServer::answer(200)); };
+  start();
+  ASSERT_TRUE(until([&] { return target.requests.size() == 4 && owed() == 0; }));
+  EXPECT_TRUE(discovery.notices.empty());
+}
+
+// The program itself, on SIGTERM: lets a call end, goes on answering, and ends with status 0 before SIGKILL
+// comes.
+TEST_F(NetBed, TheProgramEndsInTimeOnSigterm) {
+  const std::string path = folder.path() + "/config.json";
+  tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
+  const tcp::endpoint address = free.local_endpoint();
+  free.close();
+  config["listen"] = "127.0.0.1:" + std::to_string(address.port());
+  std::ofstream(path) << config;
+  const pid_t child = ::fork();
+  ASSERT_GE(child, 0);
+  if (child == 0) {
+    ::setenv("PROXY_CONFIG", path.c_str(), 1);
+    ::setenv("PROXY_STATE", folder.path().c_str(), 1);
+    ::execl(FORWARDER, FORWARDER, static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  ASSERT_TRUE(until([&] {
+    tcp::socket probe(io);
+    error_code refused;
+    probe.connect(address, refused);
+    return !refused;
+  }));
+  client = std::make_unique<FakeClient>(loops, address);
+  std::shared_ptr<Link> held;
+  target.handler = [&](Link&) { held = target.links.back(); };
+  client->enqueue("m1", "unsafe");
+  EXPECT_EQ(client->line(), "+OK");
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  const auto told = std::chrono::steady_clock::now();
+  ::kill(child, SIGTERM);
+  client->write(FakeClient::command({"PING"}));
+  EXPECT_EQ(client->line(), "+PONG");
+  held->write(FakeServer::answer(200));
+  int status = -1;
+  bool ended = false;
+  EXPECT_TRUE(until([&] { return ended = ended || ::waitpid(child, &status, WNOHANG) == child; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - told, std::chrono::milliseconds(3'700));
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  EXPECT_EQ(owed(), 0U);
+  EXPECT_TRUE(discovery.notices.empty());
+}
+
+// What cannot be used ends the program with status 1 and one line.
+TEST_F(NetBed, TheProgramSaysWhatIsWrongWithItsConfiguration) {
+  const std::string path = folder.path() + "/config.json";
+  std::ofstream(path) << "{\"name\":";
+  const std::string command =
+      "PROXY_CONFIG=" + path + " PROXY_STATE=" + folder.path() + " " FORWARDER " 2>&1";
+  FILE* pipe = ::popen(command.c_str(), "r");
+  ASSERT_NE(pipe, nullptr);
+  std::string said;
+  for (int c; (c = std::fgetc(pipe)) != EOF;) said += static_cast<char>(c);
+  EXPECT_EQ(WEXITSTATUS(::pclose(pipe)), 1);
+  EXPECT_EQ(said, "thistleyoke: the configuration '" + path + "' is not JSON\n");
+}
+
 // ---- The journal ----
 
 Owed message(const std::string& id, std::size_t bytes = 5) {
