Bound requests, keep the first line's word, count notices once, answer quiet watches

Found by reading, each with a loopback test: - targets.cpp breakOff(): a body that broke off after '200' was told as reset, so an unsafe message that was delivered was given up. The head decides now. - targets.cpp callOff(): posted to the loop, it could reach a call that had ended and close its connection after it was back in the pool. It is direct. - forwarder.cpp onNoticed(): a message delivered while its notice waited left noticed_ too high, and the count of open messages could wrap to -BUSY for ever. release() counts now. - intake.cpp: hiredis holds the words it has read outside its buffer, so the buffer's length bounded nothing. Bytes since the last whole request count. A quarter of the descriptors go to clients, so 128 KiB each fit the memory. - discovery.cpp: where only keep-alives come, the module's watch was never answered and it asked anew each second.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -14,7 +14,7 @@
 
 constexpr auto kSilence = milliseconds(5'000);  // an empty line comes every 2 s while nothing changes
 constexpr auto kPostWait = milliseconds(1'000);
-constexpr std::size_t kMostInPost = 200;  // lines; far under the 64 KiB that a body may hold
+constexpr std::size_t kMostInPost = 150;  // lines; far under the 64 KiB that a body may hold
 constexpr std::size_t kLongestLine = 4 << 20;
 
 milliseconds backoff(int failures, int first, int most) {
@@ -31,7 +31,7 @@
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
   std::string text;
-  bool over = false;
+  bool answered = false, over = false;
 };
 
 struct Discovery::Post {
@@ -125,10 +125,14 @@
     for (std::size_t end; (end = w->text.find('\n')) != std::string::npos;) {
       const std::string line = w->text.substr(0, end);
       w->text.erase(0, end + 1);
-      if (line.find_first_not_of(" \r\t") == std::string::npos) continue;
+      const bool empty = line.find_first_not_of(" \r\t") == std::string::npos;
+      if (empty && w->answered) continue;
+      w->answered = true;
       std::optional<Directory> list;
       try {
-        list = parseDirectory(nlohmann::json::parse(line), names_);
+        // A keep-alive before any list says that the watch stands and nothing has changed.
+        list = empty ? Directory{rev_, {ViewScope::changes, {}}, {}}
+                     : parseDirectory(nlohmann::json::parse(line), names_);
       } catch (const std::exception& problem) {
         return lost(problem.what());
       }
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -122,7 +122,7 @@
   const std::size_t open = journal_.owed().size() - noticed_ + arriving_.size();
   if (open >= static_cast<std::size_t>(settings_.maxOpen)) return answer(busy(0));
   std::size_t arrivingBytes = 0;
-  for (const auto& [handle, other] : arriving_) arrivingBytes += other.message.body.size() + 4'000;
+  for (const auto& [handle, other] : arriving_) arrivingBytes += other.message.body.size() + 8'000;
   if (!journal_.hasRoom(message.id.size(), message.key.size(), message.body.size() + arrivingBytes))
     return answer(busy(settings_.maxRetryAfter));
   Arrival a;
@@ -175,8 +175,6 @@
 
 void Forwarder::onNoticed(const std::vector<std::string>& ids) {
   for (const std::string& id : ids) {
-    if (journal_.find(id) == nullptr) continue;
-    --noticed_;
     release(id);
   }
   if (!journal_.commit()) std::cerr << "an acknowledged notice is not on disk yet" << std::endl;
@@ -327,6 +325,7 @@
   if (const Owed* owed = journal_.find(id)) {
     ids_.erase(owed->handle);
     attempts_.erase(owed->handle);
+    if (owed->notice) --noticed_;
     journal_.end(id);
   }
 }
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::size_t kLongestBody = 64 * 1024;
 constexpr std::size_t kLongestId = 256;
-constexpr std::size_t kMostUnread = 256 * 1024;  // of one request; more cannot be told from a flood
+constexpr std::size_t kMostUnread = 128 * 1024;  // of one request; more cannot be told from a flood
 constexpr std::size_t kMostWords = 64;
 constexpr std::size_t kMostWaiting = 256;  // requests of one client without an answer yet
 constexpr auto kPause = std::chrono::milliseconds(20);
@@ -73,7 +73,7 @@
     flush();
   }
 
-  bool waiting() const { return !answers_.empty() || !out_.empty() || reader_->len > reader_->pos; }
+  bool waiting() const { return !answers_.empty() || !out_.empty() || writing_ || (!ending_ && unread_ > 0); }
 
   void answer(std::size_t slot, const std::string& reply) {
     if (closed_ || slot < first_ || slot - first_ >= answers_.size()) return;
@@ -108,9 +108,10 @@
                               if (error) {
                                 // The client ended its sending; what it asked before is still answered.
                                 ending_ = true;
-                                if (error != asio::error::eof || (answers_.empty() && out_.empty())) close();
+                                if (error != asio::error::eof || !waiting()) close();
                                 return;
                               }
+                              unread_ += n;
                               redisReaderFeed(reader_.get(), in_.data(), n);
                               parse();
                               flush();
@@ -123,10 +124,12 @@
       void* raw = nullptr;
       if (redisReaderGetReply(reader_.get(), &raw) != REDIS_OK) return refuse("ERR protocol error");
       if (raw == nullptr) break;
+      unread_ = reader_->len - reader_->pos;
       const std::unique_ptr<void, decltype(&freeReplyObject)> owner(raw, freeReplyObject);
       take(*static_cast<redisReply*>(raw));
     }
-    if (reader_->len - reader_->pos > kMostUnread) refuse("ERR request too long");
+    // What hiredis has read of a request it holds outside its buffer, so the buffer's length does not tell.
+    if (!ending_ && unread_ > kMostUnread) refuse("ERR request too long");
   }
 
   // Framing is lost: this is the last answer here.
@@ -183,6 +186,7 @@
   std::array<char, 16 * 1024> in_;
   std::deque<std::optional<std::string>> answers_;  // in the order of the requests
   std::size_t first_ = 0;
+  std::size_t unread_ = 0;  // bytes since the last whole request
   std::string out_, sending_;
   bool reading_ = false, writing_ = false, ending_ = false, closed_ = false;
 };
@@ -191,7 +195,7 @@
     : io_(io),
       listen_(config.listen),
       names_(config.names),
-      most_(std::max<std::size_t>(8, config.sockets / 2)),
+      most_(std::max<std::size_t>(8, config.sockets / 4)),
       submission_(std::move(submission)),
       acceptor_(io),
       pause_(io) {}
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -151,6 +151,7 @@
       if (error || over_) return;
       const auto now = Clock::now();
       if (connectBy_ && now >= *connectBy_) return breakOff();
+      if (headTells()) return answered(false);
       for (std::size_t i = 0; i < parcels_.size(); ++i) {
         if (now >= started_ + std::chrono::microseconds(parcels_[i].timeout))
           tell(i, written_ ? Ending::timedOut : Ending::connectFailed);
@@ -167,8 +168,8 @@
       written_ = true;
       http::async_read(line_->socket, line_->buffer, parser_, [this, self](error_code failed, std::size_t) {
         if (over_) return;
-        if (failed) return breakOff();
-        answered();
+        if (failed && !headTells()) return breakOff();
+        answered(!failed && parser_.keep_alive() && line_->buffer.size() == 0);
       });
     });
   }
@@ -208,13 +209,17 @@
     home_.outcome_(o);
   }
 
-  void answered() {
+  // The first line says what became of a single message; a body that breaks off or stays away changes
+  // nothing.
+  bool headTells() const { return parcels_.size() == 1 && parser_.is_header_done(); }
+
+  void answered(bool reuse) {
     over_ = true;
     timer_.cancel();
     const auto& answer = parser_.get();
     const Micros wait = wholeNumber(answer["X-Retry-In-Ms"]).value_or(0) * 1000;
     const unsigned status = answer.result_int();
-    if (parser_.keep_alive() && line_->buffer.size() == 0) {
+    if (reuse) {
       home_.giveBack(target_, line_);
     } else {
       line_->close();
@@ -325,10 +330,8 @@
 void Targets::callOff(MessageId handle, int attempt) {
   for (const auto& exchange : calls_) {
     if (!exchange->holds(handle, attempt)) continue;
-    asio::post(io_, [exchange, handle, attempt, alive = alive_] {
-      if (*alive) exchange->callOff(handle, attempt);
-    });
-    return;
+    const auto kept = exchange;  // it may leave the set
+    return kept->callOff(handle, attempt);
   }
 }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -87,6 +87,17 @@
   EXPECT_EQ(client->line(), "+PONG");
 }
 
+// A request that never ends is cut off, however its bytes are spread over words: they must not fill the
+// memory.
+TEST_F(NetBed, BoundsARequestThatNeverEnds) {
+  start();
+  const std::string word = "$20000\r\n" + std::string(20'000, 'x') + "\r\n";
+  client->write("*60\r\n");
+  for (int i = 0; i < 9; ++i) client->write(word);
+  EXPECT_EQ(client->line(), "-ERR request too long");
+  EXPECT_TRUE(until([&] { return client->closed; }));
+}
+
 // A client that ends its sending after a request still hears what became of it.
 TEST_F(NetBed, AnswersAClientThatEndedItsSending) {
   start();
@@ -159,6 +170,20 @@
 
 // ---- Calls ----
 
+// A message that a notice is owed for is out of the module's hands: it takes no place from new ones.
+TEST_F(NetBed, CountsWhatIsOnlyOwedANoticeOutOfMaxOpen) {
+  config["settings"]["limits"]["maxOpen"] = 1;
+  discovery.refuse = 1'000'000;
+  target.handler = [](Link& link) { link.reset(); };
+  start();
+  client->enqueue("m1", "unsafe");
+  EXPECT_EQ(client->line(), "+OK");
+  ASSERT_TRUE(until([&] { return discovery.refuse < 1'000'000; }));
+  client->enqueue("m2", "unsafe");
+  EXPECT_EQ(client->line(), "+OK");
+  EXPECT_EQ(owed(), 2U);
+}
+
 // A told wait binds the whole destination, for any message.
 TEST_F(NetBed, HeedsAWaitThatItIsTold) {
   bool first = true;
@@ -222,6 +247,21 @@
   EXPECT_TRUE(discovery.notices.empty());
 }
 
+// Delivered is what a first line with 200 was written for, though its body breaks off or never comes: an
+// unsafe message must not be given up for it.
+TEST_F(NetBed, TakesTheFirstLineForTheAnswer) {
+  target.handler = [](Link& link) {
+    link.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+    if (link.request["X-Request-Id"] == "breaks") link.close();
+  };
+  start();
+  client->enqueue("breaks", "unsafe");
+  EXPECT_TRUE(until([&] { return target.requests.size() == 1 && owed() == 0; }));
+  client->enqueue("stays", "unsafe", 300);
+  EXPECT_TRUE(until([&] { return target.requests.size() == 2 && owed() == 0; }));
+  EXPECT_TRUE(discovery.notices.empty());
+}
+
 // A head that is no HTTP came after the last byte: the call may have run, and the service goes on.
 TEST_F(NetBed, TakesAMalformedAnswerForABrokenCall) {
   target.handler = [](Link& link) { link.write("what?\r\n\r\n"); };
@@ -306,6 +346,16 @@
   EXPECT_TRUE(target.requests.empty());
 }
 
+// Where nothing changed a keep-alive is all that comes: it answers the watch, or the module would ask anew
+// each second and load discovery for nothing.
+TEST_F(NetBed, TakesAKeepAliveForTheAnswerToItsWatch) {
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  discovery.chunk("");
+  pause(1'200);
+  EXPECT_EQ(discovery.watches.size(), 1U);
+}
+
 // A line that is no list drops the watch alone; the next one goes on from the last version that was read.
 TEST_F(NetBed, WatchesAgainAfterABadLine) {
   start();
