Make the drain test's figures its own

Seen in a clean clone: DrainsWithoutStartingWhatCannotEnd failed, and twelve of twelve times alone afterwards. Cause: the test drained within 1 ms and let the fake's speed set the usual duration; at 0.15 ms an unsafe call's six durations fit, so the module was right to start it. Ruled out: the drain itself, whose check works on the figures it is given. The fake now takes 100 ms and the drain 300 ms: six durations never fit.

--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -476,16 +476,19 @@
 // for the next process, which delivers it though it must not take effect twice.
 TEST_F(NetBed, DrainsWithoutStartingWhatCannotEnd) {
   config["settings"]["familyInfo"]["kindBatch"] = {1};
+  target.handler = [](Link&) {};
   start();
   client->enqueue("m1", "unsafe");
   EXPECT_EQ(client->line(), "+OK");
-  ASSERT_TRUE(until([&] { return target.requests.size() == 1 && owed() == 0; }));
-  target.handler = [](Link&) {};
+  ASSERT_TRUE(until([&] { return target.requests.size() == 1; }));
+  pause(100);  // a usual duration here: an unsafe call wants six times that
+  target.links[0]->write(FakeServer::answer(200));
+  ASSERT_TRUE(until([&] { return owed() == 0; }));
   client->enqueue("out", "safe");
   EXPECT_EQ(client->line(), "+OK");
   ASSERT_TRUE(until([&] { return target.requests.size() == 2; }));
   bool drained = false;
-  forwarder->drain(std::chrono::milliseconds(1), [&] { drained = true; });
+  forwarder->drain(std::chrono::milliseconds(300), [&] { drained = true; });
   client->enqueue("m2", "unsafe");
   EXPECT_EQ(client->line(), "+OK");
   ASSERT_TRUE(until([&] { return drained && client->closed; }));
