SIGHUP rereads where discovery is; the watch and the notices move there at once

Checked: main.cpp set handlers for SIGTERM and SIGINT alone, so the default action ended the program; no fault of the reader of the configuration, which was never reached. Cause: src/main.cpp, no signal_set for SIGHUP. Also found by a test: Discovery::watch() restarted a backoff that was running each time that the module asked again, so that a backoff longer than the module's patience (1,600 ms against askWithin/10) never ended. One that is pending now goes on.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -63,6 +63,14 @@
   return static_cast<std::size_t>(value * 1e6);
 }
 
+json readJson(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("cannot open the configuration '" + path + "'");
+  json text = json::parse(file, nullptr, false);
+  if (text.is_discarded()) throw std::runtime_error("the configuration '" + path + "' is not JSON");
+  return text;
+}
+
 }  // namespace
 
 Directory parseDirectory(const json& list, const Names& names) {
@@ -115,11 +123,15 @@
 }
 
 Config readConfig(const std::string& path, const std::string& stateFolder) {
-  std::ifstream file(path);
-  if (!file) throw std::runtime_error("cannot open the configuration '" + path + "'");
-  const json text = json::parse(file, nullptr, false);
-  if (text.is_discarded()) throw std::runtime_error("the configuration '" + path + "' is not JSON");
-  return parseConfig(text, stateFolder);
+  return parseConfig(readJson(path), stateFolder);
+}
+
+tcp::endpoint readDiscovery(const std::string& path) {
+  try {
+    return parseAddress(readJson(path).at("discovery").get<std::string>());
+  } catch (const json::exception& problem) {
+    throw std::runtime_error(std::string("the configuration names no discovery: ") + problem.what());
+  }
 }
 
 }  // namespace quilltide::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -43,5 +43,7 @@
 // Throws std::runtime_error with one plain line on what it cannot use; keys that it does not know pass.
 Config parseConfig(const nlohmann::json& text, const std::string& stateFolder);
 Config readConfig(const std::string& path, const std::string& stateFolder);
+// What SIGHUP takes over of a configuration that replaced the one at the start. Throws like readConfig.
+tcp::endpoint readDiscovery(const std::string& path);
 
 }  // namespace quilltide::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -62,25 +62,52 @@
 // ---- The watch ----
 
 void Discovery::watch(bool enable) {
+  wanted_ = enable;
+  // Its answer is on the way already; one that waits out its backoff must not begin to wait anew each time.
+  if (enable && (delayed_ || (watch_ && !watch_->answered))) return;
   delay_.cancel();
-  if (watch_) {
-    watch_->over = true;
-    watch_->timer.cancel();
-    error_code ignored;
-    watch_->socket.close(ignored);
-    watch_.reset();
-  }
+  delayed_ = false;
+  stopWatching();
   if (!enable) return;
   // Discovery serves everybody in turn: after an outage they must not all come back at once.
   const double spread = 0.5 + 0.5 * std::uniform_real_distribution<double>()(random_);
   const auto wait = std::chrono::duration_cast<milliseconds>(spread * backoff(failures_, 100, 1'600));
+  delayed_ = true;
   delay_.expires_after(wait);
   delay_.async_wait([this](error_code error) {
     if (!error) open();
   });
 }
 
+void Discovery::stopWatching() {
+  if (!watch_) return;
+  watch_->over = true;
+  watch_->timer.cancel();
+  error_code ignored;
+  watch_->socket.close(ignored);
+  watch_.reset();
+}
+
+// The failures were the old address's: nothing waits for them. What was posted there without an answer goes
+// again, since a notice told twice does no harm. The module sees one watch that goes on.
+void Discovery::moveTo(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  failures_ = postFailures_ = 0;
+  if (wanted_) {
+    delay_.cancel();
+    stopWatching();
+    open();
+  }
+  dropPost();
+  retry_.cancel();
+  posted_ = 0;
+  flush();
+}
+
 void Discovery::open() {
+  delayed_ = false;
+  stopWatching();
   auto w = watch_ = std::make_shared<Watch>(io_);
   guard();
   w->socket.async_connect(address_, [this, w](error_code error) {
@@ -149,11 +176,7 @@
 void Discovery::lost(const char* why) {
   std::cerr << "discovery: the watch is lost: " << why << std::endl;
   ++failures_;
-  watch_->over = true;
-  watch_->timer.cancel();
-  error_code ignored;
-  watch_->socket.close(ignored);
-  watch_.reset();
+  stopWatching();
   directory_(std::nullopt);
 }
 
@@ -206,16 +229,20 @@
   });
 }
 
+void Discovery::dropPost() {
+  if (!post_) return;
+  post_->timer.cancel();
+  error_code ignored;
+  post_->socket.close(ignored);
+  post_.reset();
+}
+
 // Anything but 204 goes again on a new connection: a notice told twice does no harm, an untold one is a loss.
 void Discovery::sent(bool acknowledged) {
   auto p = post_;
   p->timer.cancel();
   const std::size_t count = std::exchange(posted_, 0);
-  if (!acknowledged || !p->parser->keep_alive()) {
-    error_code ignored;
-    p->socket.close(ignored);
-    post_.reset();
-  }
+  if (!acknowledged || !p->parser->keep_alive()) dropPost();
   if (acknowledged) {
     postFailures_ = 0;
     std::vector<std::string> ids;
@@ -228,7 +255,7 @@
   posted_ = notices_.size() + 1;  // nothing goes out while the retry waits
   retry_.expires_after(backoff(postFailures_, 20, 250));
   retry_.async_wait([this](error_code error) {
-    if (error) return;
+    if (error || post_) return;
     posted_ = 0;
     flush();
   });
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -29,17 +29,21 @@
   ~Discovery();
 
   void watch(bool enable);
+  // Discovery is to be found elsewhere: the watch and the notices go there at once.
+  void moveTo(const tcp::endpoint& address);
   void notice(const std::string& id, const Notice& notice);
 
  private:
   struct Watch;
   struct Post;
 
+  void stopWatching();
   void open();
   void readMore();
   void guard();
   void lost(const char* why);
   void flush();
+  void dropPost();
   void sent(bool acknowledged);
 
   boost::asio::io_context& io_;
@@ -48,6 +52,8 @@
   OnDirectory directory_;
   OnNoticed noticed_;
   std::int64_t rev_;
+  bool wanted_ = false;  // the module's last word on the watch
+  bool delayed_ = false;
   int failures_ = 0;
   std::mt19937_64 random_;
   std::shared_ptr<Watch> watch_;
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -26,6 +26,7 @@
   void start();
   // SIGTERM: goes on answering, starts no call that cannot end by `until`, then says so.
   void drain(std::chrono::milliseconds until, std::function<void()> drained);
+  void moveDiscovery(const tcp::endpoint& address) { discovery_.moveTo(address); }
   tcp::endpoint address() const { return intake_.address(); }
 
  private:
--- a/tests/net_bed.hpp
+++ b/tests/net_bed.hpp
@@ -2,13 +2,17 @@
 #pragma once
 
 #include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <csignal>
 #include <deque>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -270,6 +274,44 @@
   bool until(const std::function<bool()>& holds) { return loops.until(holds); }
   std::size_t owed() { return Journal(folder.path(), 3'000'000).owed().size(); }
 
+  // The program itself, with the bed's configuration in a file, once it takes connections.
+  void startProgram() {
+    tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
+    const tcp::endpoint address = free.local_endpoint();
+    free.close();
+    config["listen"] = "127.0.0.1:" + std::to_string(address.port());
+    writeConfig(config.dump());
+    program = ::fork();
+    ASSERT_GE(program, 0);
+    if (program == 0) {
+      ::setenv("PROXY_CONFIG", configPath().c_str(), 1);
+      ::setenv("PROXY_STATE", folder.path().c_str(), 1);
+      ::execl(FORWARDER, FORWARDER, static_cast<char*>(nullptr));
+      ::_exit(127);
+    }
+    ASSERT_TRUE(until([&] {
+      tcp::socket probe(io);
+      error_code refused;
+      probe.connect(address, refused);
+      return !refused;
+    }));
+    client = std::make_unique<FakeClient>(loops, address);
+  }
+  std::string configPath() const { return folder.path() + "/config.json"; }
+  void writeConfig(const std::string& text) {
+    std::ofstream(configPath() + ".new") << text;
+    std::filesystem::rename(configPath() + ".new", configPath());
+  }
+  bool programEnded() {
+    if (program > 0 && ::waitpid(program, &status, WNOHANG) == program) program = 0;
+    return program == 0;
+  }
+  ~NetBed() override {
+    if (program <= 0 || programEnded()) return;
+    ::kill(program, SIGKILL);
+    ::waitpid(program, &status, 0);
+  }
+
   void pause(int ms) {
     loops.until([] { return false; }, std::chrono::milliseconds(ms));
   }
@@ -282,6 +324,8 @@
   json config;
   std::unique_ptr<Forwarder> forwarder;
   std::unique_ptr<FakeClient> client;
+  pid_t program = 0;
+  int status = -1;
 };
 
 }  // namespace quilltide::net::testbed
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -503,40 +503,18 @@
 // The program itself, on SIGTERM: lets a call end, goes on answering, and ends with status 0 before SIGKILL
 // comes.
 TEST_F(NetBed, TheProgramEndsInTimeOnSigterm) {
-  const std::string path = folder.path() + "/config.json";
-  tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
-  const tcp::endpoint address = free.local_endpoint();
-  free.close();
-  config["listen"] = "127.0.0.1:" + std::to_string(address.port());
-  std::ofstream(path) << config;
-  const pid_t child = ::fork();
-  ASSERT_GE(child, 0);
-  if (child == 0) {
-    ::setenv("PROXY_CONFIG", path.c_str(), 1);
-    ::setenv("PROXY_STATE", folder.path().c_str(), 1);
-    ::execl(FORWARDER, FORWARDER, static_cast<char*>(nullptr));
-    ::_exit(127);
-  }
-  ASSERT_TRUE(until([&] {
-    tcp::socket probe(io);
-    error_code refused;
-    probe.connect(address, refused);
-    return !refused;
-  }));
-  client = std::make_unique<FakeClient>(loops, address);
+  startProgram();
   std::shared_ptr<Link> held;
   target.handler = [&](Link&) { held = target.links.back(); };
   client->enqueue("m1", "unsafe");
   EXPECT_EQ(client->line(), "+OK");
   ASSERT_TRUE(until([&] { return held != nullptr; }));
   const auto told = std::chrono::steady_clock::now();
-  ::kill(child, SIGTERM);
+  ::kill(program, SIGTERM);
   client->write(FakeClient::command({"PING"}));
   EXPECT_EQ(client->line(), "+PONG");
   held->write(FakeServer::answer(200));
-  int status = -1;
-  bool ended = false;
-  EXPECT_TRUE(until([&] { return ended = ended || ::waitpid(child, &status, WNOHANG) == child; }));
+  EXPECT_TRUE(until([&] { return programEnded(); }));
   EXPECT_LT(std::chrono::steady_clock::now() - told, std::chrono::milliseconds(3'700));
   EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
   EXPECT_EQ(owed(), 0U);
