Intake: an end for everybody within 3 s, bad lengths turned away at their header, bounded floods

Seen by reading, each confirmed by a test that fails without its fix: nothing ended a connection that was silent or held half a command, and waiting() counted unread bytes, so with such ones in every place accept() polled for ever; a $ was waited for up to 128 KiB; hiredis takes any two bytes for a word's end, so a request whose body length was short by two was taken on with a cut body; closing with unread bytes sent a reset over the error just written; a client that reads no answers could grow the unsent ones without end; each request searched the list of clients twice (remove_if), and each connection kept a buffer of 16 KiB. To blame: src/net/intake.cpp: waiting(), dropIdle(), parse(), refuse(), take(), Client::in_.

--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -1,9 +1,6 @@
 #include "intake.hpp"
 
-#include <hiredis/hiredis.h>
-
 #include <algorithm>
-#include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <deque>
@@ -11,18 +8,29 @@
 #include <optional>
 #include <stdexcept>
 
+#include "resp.hpp"
+
 namespace quilltide::net {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
 
-constexpr std::size_t kLongestBody = 64 * 1024;
-constexpr std::size_t kLongestId = 256;
-constexpr std::size_t kMostUnread = 128 * 1024;  // of one request; more cannot be told from a flood
-constexpr std::size_t kMostWords = 64;
-constexpr std::size_t kMostWaiting = 256;  // requests of one client without an answer yet
-constexpr auto kPause = std::chrono::milliseconds(20);
+constexpr std::size_t kMostWaiting = 256;       // requests of one client without an answer yet
+constexpr std::size_t kMostUnsent = 64 * 1024;  // bytes of answers that one client has not read yet
+constexpr int kMostErrors = 3;                  // in a row: who sends nothing else has its connection ended
+constexpr auto kPause = milliseconds(20);
+constexpr auto kSweep = milliseconds(100);
+// Who says nothing, or half a request, is owed an end within 3 s; a rest of 2 s may always be ended.
+constexpr auto kSilence = milliseconds(2'200);
+constexpr auto kRest = milliseconds(2'000);
+constexpr auto kStalled = milliseconds(10'000);  // answers that are not read
+// After the last answer, until the client has read it: closing on bytes unread would send a reset that may
+// destroy it.
+constexpr auto kLinger = milliseconds(500);
+constexpr std::size_t kMostDiscarded = 256 * 1024;
 
 struct BadRequest : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -36,59 +44,69 @@
   return value;
 }
 
-// hiredis makes room for as many words as the first line names: a line of a few bytes must not take
-// gigabytes.
-void* createArray(const redisReadTask* task, size_t elements) {
-  if (elements > kMostWords) return nullptr;
-  static redisReplyObjectFunctions* const plain = [] {
-    redisReader* reader = redisReaderCreate();
-    redisReplyObjectFunctions* functions = reader->fn;
-    redisReaderFree(reader);
-    return functions;
-  }();
-  return plain->createArray(task, static_cast<int>(elements));
-}
-
 }  // namespace
 
 class Intake::Client : public std::enable_shared_from_this<Intake::Client> {
  public:
-  Client(Intake& home, tcp::socket socket)
-      : home_(&home), socket_(std::move(socket)), reader_(redisReaderCreate(), redisReaderFree) {
-    functions_ = *reader_->fn;
-    functions_.createArray = [](const redisReadTask* task, auto elements) {
-      return createArray(task, static_cast<size_t>(elements));
-    };
-    reader_->fn = &functions_;
-  }
+  Client(Intake& home, tcp::socket socket) : home_(&home), socket_(std::move(socket)) {}
 
-  void start() {
+  void start(Clients::iterator place) {
+    place_ = place;
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     read();
   }
 
+  // What has arrived is still taken; then this is the end.
   void finish() {
+    if (!ending_ && takeIn()) parse();
     ending_ = true;
     flush();
   }
 
-  bool waiting() const { return !answers_.empty() || !out_.empty() || writing_ || (!ending_ && unread_ > 0); }
-
   void answer(std::size_t slot, const std::string& reply) {
     if (closed_ || slot < first_ || slot - first_ >= answers_.size()) return;
-    answers_[slot - first_] = reply + "\r\n";
+    touch();
+    settle(slot, reply);
     flush();
   }
 
+  // Looked at from time to time: does this client keep its place?
+  void check(Clock::time_point now) {
+    const auto rest = now - lastUse_;
+    if (lingering_) {
+      if (rest >= kLinger) close();
+    } else if (waiting()) {
+      if (writing_ && rest >= kStalled) close();
+    } else if (reader_.unread() > 0) {
+      if (rest >= kSilence) {
+        refuse("ERR a request that does not end");
+        flush();
+      }
+    } else if (!proven_ && rest >= kSilence) {
+      close();
+    }
+  }
+
+  // May this one go for another? Who has never handed anything in goes first, but not with bytes unread.
+  enum class Spare { now, ifNeeded, no };
+  Spare spare(Clock::time_point now) {
+    if (lingering_) return Spare::now;
+    if (waiting()) return Spare::no;
+    if (proven_) return now - lastUse_ >= kRest && reader_.unread() == 0 ? Spare::ifNeeded : Spare::no;
+    error_code error;
+    return socket_.available(error) > 0 && !error ? Spare::ifNeeded : Spare::now;
+  }
+
   void close() {
     if (closed_) return;
     closed_ = true;
     error_code ignored;
     socket_.close(ignored);
-    if (home_ != nullptr) {
-      home_->clients_.remove_if([this](const auto& c) { return c.get() == this; });
-    }
+    if (home_ == nullptr) return;
+    hold(0);
+    home_->clients_.erase(place_);  // the last word here: it may be the last owner's
   }
   void orphan() {
     home_ = nullptr;
@@ -96,74 +114,99 @@
   }
 
  private:
-  using Reader = std::unique_ptr<redisReader, decltype(&redisReaderFree)>;
+  bool waiting() const { return !answers_.empty() || !out_.empty() || writing_; }
+
+  void touch() {
+    lastUse_ = Clock::now();
+    home_->clients_.splice(home_->clients_.end(), home_->clients_, place_);
+  }
+  void hold(std::size_t bytes) {
+    home_->heldBytes_ += bytes - held_;
+    held_ = bytes;
+  }
 
+  // Waits without a buffer: of many connections few have something to read.
   void read() {
-    if (closed_ || ending_ || reading_ || answers_.size() >= kMostWaiting) return;
+    if (closed_ || reading_) return;
+    if (!lingering_ && (ending_ || answers_.size() >= kMostWaiting || out_.size() >= kMostUnsent)) return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(in_),
-                            [this, self = shared_from_this()](error_code error, std::size_t n) {
-                              reading_ = false;
-                              if (closed_) return;
-                              if (error) {
-                                // The client ended its sending; what it asked before is still answered.
-                                ending_ = true;
-                                if (error != asio::error::eof || !waiting()) close();
-                                return;
-                              }
-                              unread_ += n;
-                              redisReaderFeed(reader_.get(), in_.data(), n);
-                              parse();
-                              flush();
-                              read();
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code error) {
+      reading_ = false;
+      if (closed_) return;
+      if (error) return close();
+      if (lingering_) return discard();
+      if (ending_) return;
+      if (takeIn()) parse();
+      if (closed_) return;
+      flush();
+      read();
+    });
+  }
+
+  // One piece at a time: nobody keeps the loop from the others.
+  bool takeIn() {
+    error_code error;
+    const std::size_t n = socket_.read_some(asio::buffer(home_->scratch_), error);
+    if (error == asio::error::would_block) return false;
+    if (error == asio::error::eof) {  // the client ended its sending; what it asked before is still answered
+      ending_ = ended_ = true;
+      return false;
+    }
+    if (error) {
+      close();
+      return false;
+    }
+    if (reader_.unread() == 0) lastUse_ = Clock::now();
+    reader_.feed(home_->scratch_.data(), n);
+    return true;
   }
 
   void parse() {
+    std::vector<std::string> words;
     while (!ending_) {
-      void* raw = nullptr;
-      if (redisReaderGetReply(reader_.get(), &raw) != REDIS_OK) return refuse("ERR protocol error");
-      if (raw == nullptr) break;
-      unread_ = reader_->len - reader_->pos;
-      const std::unique_ptr<void, decltype(&freeReplyObject)> owner(raw, freeReplyObject);
-      take(*static_cast<redisReply*>(raw));
+      const RequestReader::Next next = reader_.next(words);
+      if (next == RequestReader::Next::nothing) break;
+      if (next == RequestReader::Next::unreadable) return refuse("ERR protocol error");
+      take(next == RequestReader::Next::request ? &words : nullptr);
     }
-    // What hiredis has read of a request it holds outside its buffer, so the buffer's length does not tell.
-    if (!ending_ && unread_ > kMostUnread) refuse("ERR request too long");
+    hold(reader_.unread());
+    if (home_->heldBytes_ > home_->budget_.clientBytes) refuse("ERR no room for unfinished requests");
   }
 
-  // Framing is lost: this is the last answer here.
+  // This is the last answer here.
   void refuse(const char* why) {
     answers_.emplace_back(std::string("-") + why + "\r\n");
     ending_ = true;
   }
 
-  void take(const redisReply& request) {
+  void take(std::vector<std::string>* words) {
     const std::size_t slot = first_ + answers_.size();
     answers_.emplace_back();
-    std::vector<std::string> words;
-    bool plain = request.type == REDIS_REPLY_ARRAY && request.elements > 0;
-    for (std::size_t i = 0; plain && i < request.elements; ++i) {
-      const redisReply& word = *request.element[i];
-      plain = word.type == REDIS_REPLY_STRING;
-      if (plain) words.emplace_back(word.str, static_cast<std::size_t>(word.len));
+    touch();
+    const std::string reply = words != nullptr ? home_->submit(*words, shared_from_this(), slot)
+                                               : "-ERR a request is an array of bulk strings";
+    if (!reply.empty()) settle(slot, reply);
+  }
+
+  void settle(std::size_t slot, const std::string& reply) {
+    answers_[slot - first_] = reply + "\r\n";
+    if (reply.starts_with("-ERR")) {
+      if (++errors_ >= kMostErrors) ending_ = true;
+    } else if (reply != "+PONG") {
+      proven_ = true;
+      errors_ = 0;
     }
-    const std::string reply =
-        plain ? home_->submit(words, shared_from_this(), slot) : "-ERR a request is an array of bulk strings";
-    if (!reply.empty()) answers_[slot - first_] = reply + "\r\n";
-    home_->clients_.remove_if([this](const auto& c) { return c.get() == this; });
-    home_->clients_.push_back(shared_from_this());
   }
 
   void flush() {
-    if (closed_ || writing_) return;
+    if (closed_ || writing_ || lingering_) return;
     while (!answers_.empty() && answers_.front()) {
       out_ += *answers_.front();
       answers_.pop_front();
       ++first_;
     }
     if (out_.empty()) {
-      if (ending_ && answers_.empty()) close();
+      if (ending_ && answers_.empty()) linger();
       return;
     }
     writing_ = true;
@@ -179,29 +222,52 @@
                       });
   }
 
+  void linger() {
+    if (ended_) return close();
+    lingering_ = true;
+    lastUse_ = Clock::now();
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    read();
+  }
+
+  // Past the bound nothing is read any more, and the connection stands until its time is up.
+  void discard() {
+    error_code error;
+    const std::size_t n = socket_.read_some(asio::buffer(home_->scratch_), error);
+    if (error && error != asio::error::would_block) return close();
+    discarded_ += n;
+    if (discarded_ < kMostDiscarded) read();
+  }
+
   Intake* home_;
+  Clients::iterator place_;
   tcp::socket socket_;
-  Reader reader_;
-  redisReplyObjectFunctions functions_{};
-  std::array<char, 16 * 1024> in_;
+  RequestReader reader_;
   std::deque<std::optional<std::string>> answers_;  // in the order of the requests
   std::size_t first_ = 0;
-  std::size_t unread_ = 0;  // bytes since the last whole request
+  std::size_t held_ = 0, discarded_ = 0;
+  int errors_ = 0;                            // since the last message that was handed in
+  Clock::time_point lastUse_ = Clock::now();  // or, with part of a request, since when
   std::string out_, sending_;
-  bool reading_ = false, writing_ = false, ending_ = false, closed_ = false;
+  bool proven_ = false;  // has handed in a message
+  bool reading_ = false, writing_ = false, lingering_ = false, closed_ = false;
+  bool ending_ = false;  // takes no more requests
+  bool ended_ = false;   // the client sends no more
 };
 
 Intake::Intake(asio::io_context& io, const Config& config, OnSubmission submission)
     : io_(io),
       listen_(config.listen),
       names_(config.names),
-      most_(std::max<std::size_t>(8, config.sockets / 4)),
+      budget_(budgetOf(config)),
       submission_(std::move(submission)),
       acceptor_(io),
-      pause_(io) {}
+      pause_(io),
+      sweep_(io) {}
 
 Intake::~Intake() {
-  for (const auto& client : std::list<std::shared_ptr<Client>>(clients_)) client->orphan();
+  for (const auto& client : Clients(clients_)) client->orphan();
 }
 
 void Intake::listen() {
@@ -210,54 +276,68 @@
   acceptor_.bind(listen_);
   acceptor_.listen(asio::socket_base::max_listen_connections);
   accept();
+  sweep();
 }
 
 void Intake::finish() {
   error_code ignored;
   pause_.cancel();
   acceptor_.close(ignored);
-  for (const auto& client : std::list<std::shared_ptr<Client>>(clients_)) client->finish();
+  for (const auto& client : Clients(clients_)) client->finish();
 }
 
-// With every place taken the longest unused client makes room, but never one that waits for an answer.
-bool Intake::dropIdle() {
+void Intake::sweep() {
+  sweep_.expires_after(kSweep);
+  sweep_.async_wait([this](error_code error) {
+    if (error) return;
+    const auto now = Clock::now();
+    for (const auto& client : Clients(clients_)) client->check(now);
+    sweep();
+  });
+}
+
+// With every place taken one that has never handed in anything makes room, else the longest unused; never one
+// that waits for an answer.
+bool Intake::makeRoom() {
+  const auto now = Clock::now();
+  std::shared_ptr<Client> second;
   for (const auto& client : clients_) {
-    if (client->waiting()) continue;
+    const Client::Spare spare = client->spare(now);
+    if (spare == Client::Spare::no) continue;
+    if (spare == Client::Spare::ifNeeded && second == nullptr) second = client;
+    if (spare == Client::Spare::ifNeeded) continue;
     const auto kept = client;
     kept->close();
     return true;
   }
-  return false;
+  if (second != nullptr) second->close();
+  return second != nullptr;
+}
+
+void Intake::acceptLater() {
+  pause_.expires_after(kPause);
+  pause_.async_wait([this](error_code error) {
+    if (!error) accept();
+  });
 }
 
 void Intake::accept() {
-  if (clients_.size() >= most_ && !dropIdle()) {
-    pause_.expires_after(kPause);
-    pause_.async_wait([this](error_code error) {
-      if (!error) accept();
-    });
-    return;
-  }
+  if (clients_.size() >= budget_.clients && !makeRoom()) return acceptLater();
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {  // out of descriptors, or the client has gone: neither may end the service
       std::cerr << "intake: accept: " << error.message() << std::endl;
-      if (error == asio::error::no_descriptors) dropIdle();
-      pause_.expires_after(kPause);
-      pause_.async_wait([this](error_code cancelled) {
-        if (!cancelled) accept();
-      });
-      return;
+      if (error == asio::error::no_descriptors) makeRoom();
+      return acceptLater();
     }
     auto client = std::make_shared<Client>(*this, std::move(socket));
-    clients_.push_back(client);
-    client->start();
+    client->start(clients_.insert(clients_.end(), client));
     accept();
   });
 }
 
 // The answer, or nothing if it comes later.
-std::string Intake::submit(const std::vector<std::string>& words, const std::shared_ptr<Client>& client,
+std::string Intake::submit(std::vector<std::string>& words, const std::shared_ptr<Client>& client,
                            std::size_t slot) {
   std::string verb = words.front();
   std::transform(verb.begin(), verb.end(), verb.begin(), [](unsigned char c) { return std::toupper(c); });
@@ -266,11 +346,11 @@
   try {
     if (words.size() != 5) throw BadRequest("ENQUEUE takes a key, an id, a list of values and a body");
     Submission s;
-    s.id = words[2];
+    s.id = std::move(words[2]);
     const bool word =
         std::all_of(s.id.begin(), s.id.end(), [](unsigned char c) { return c > 32 && c < 127; });
     if (s.id.empty() || s.id.size() > kLongestId || !word) throw BadRequest("the id is not a word");
-    s.body = words[4];
+    s.body = std::move(words[4]);
     if (s.body.size() > kLongestBody) throw BadRequest("the body is longer than 64 KiB");
     std::string cls;
     std::optional<std::int64_t> left, destination;
--- a/src/net/intake.hpp
+++ b/src/net/intake.hpp
@@ -1,6 +1,7 @@
 // Where clients hand messages in: a RESP2 server with PING and ENQUEUE, pipelined, answers in order.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -9,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "budget.hpp"
 #include "config.hpp"
 
 namespace quilltide::net {
@@ -37,20 +39,25 @@
  private:
   class Client;
   friend class Client;
+  using Clients = std::list<std::shared_ptr<Client>>;
 
   void accept();
-  bool dropIdle();
-  std::string submit(const std::vector<std::string>& words, const std::shared_ptr<Client>& client,
+  void acceptLater();
+  bool makeRoom();
+  void sweep();
+  std::string submit(std::vector<std::string>& words, const std::shared_ptr<Client>& client,
                      std::size_t slot);
 
   boost::asio::io_context& io_;
   tcp::endpoint listen_;
   Names names_;
-  std::size_t most_;
+  Budget budget_;
   OnSubmission submission_;
   tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
-  std::list<std::shared_ptr<Client>> clients_;  // the longest unused first
+  boost::asio::steady_timer pause_, sweep_;
+  Clients clients_;                      // the longest unused first
+  std::size_t heldBytes_ = 0;            // of requests that are not whole yet
+  std::array<char, 16 * 1024> scratch_;  // each read is taken out of it before the next
 };
 
 }  // namespace quilltide::net
--- /dev/null
+++ b/src/net/resp.hpp
@@ -0,0 +1,40 @@
+// Reads the requests of one client, RESP2 arrays of bulk strings, out of the bytes that come; hiredis does
+// the reading, and what it would wait for or make room for is bounded here.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct redisReader;
+
+namespace quilltide::net {
+
+constexpr std::size_t kLongestBody = 64 * 1024;
+constexpr std::size_t kLongestId = 256;
+
+class RequestReader {
+ public:
+  enum class Next {
+    nothing,    // more bytes are wanted
+    request,    // its words were taken out
+    noArray,    // something whole that is no request; what follows can be read
+    unreadable  // the end: framing is lost, or a length is beyond what may come
+  };
+
+  RequestReader();
+  ~RequestReader();
+
+  void feed(const char* bytes, std::size_t count);
+  Next next(std::vector<std::string>& words);
+  std::size_t unread() const { return unread_; }  // bytes of a request that is not whole yet
+
+ private:
+  bool hopeless() const;
+
+  std::unique_ptr<redisReader, void (*)(redisReader*)> reader_;
+  std::size_t unread_ = 0;
+};
+
+}  // namespace quilltide::net
--- /dev/null
+++ b/tests/rude_test.cpp
@@ -0,0 +1,163 @@
+// Clients that say nothing, send what cannot be read, or come back at full speed, beside one that is well.
+#include <list>
+
+#include "net/budget.hpp"
+#include "net_bed.hpp"
+
+namespace quilltide::net::testbed {
+namespace {
+
+using Link = FakeServer::Link;
+using std::chrono::milliseconds;
+
+// Each is owed an error or a close within 3 s of connecting; the one that is known to be well keeps its
+// connection, though it rests as long.
+TEST_F(NetBed, EndsWhoSaysNothingOrHalfARequest) {
+  start();
+  client->enqueue("m1", "safe");
+  ASSERT_EQ(client->line(), "+OK");
+  FakeClient silent(loops, forwarder->address()), half(loops, forwarder->address()),
+      word(loops, forwarder->address());
+  half.write("*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nm");
+  word.write("*5\r\n$7\r\nENQ");
+  ASSERT_TRUE(loops.until([&] { return silent.closed && half.closed && word.closed; }, milliseconds(3'000)));
+  EXPECT_EQ(silent.line(), "");
+  EXPECT_EQ(half.line().substr(0, 5), "-ERR ");
+  EXPECT_EQ(word.line().substr(0, 5), "-ERR ");
+  EXPECT_FALSE(client->closed);
+}
+
+// With nothing but silent ones, and ones with half a request, in all places, a new client is still served, at
+// once.
+TEST_F(NetBed, ServesANewClientWhileSilentOnesHoldEveryPlace) {
+  config["limits"]["sockets"] = 64;
+  start();
+  client->enqueue("m0", "safe");
+  ASSERT_EQ(client->line(), "+OK");
+  std::list<FakeClient> silent;
+  for (int i = 0; i < 100; ++i) {
+    silent.emplace_back(loops, forwarder->address());
+    if (i % 3 == 0) silent.back().write("*5\r\n$7\r\nENQ");
+  }
+  FakeClient late(loops, forwarder->address());
+  late.enqueue("m1", "safe");
+  loops.until([&] { return !target.requests.empty() && target.requests.back()["X-Request-Id"] == "m1"; },
+              milliseconds(1'000));
+  EXPECT_EQ(late.line(), "+OK");
+  EXPECT_FALSE(client->closed);
+}
+
+// A length that cannot be right is turned away at its first line: its bytes are not waited for.
+TEST_F(NetBed, TurnsABadLengthAwayAtItsHeader) {
+  start();
+  const std::vector<std::string> bad = {
+      "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nm1\r\n$1\r\nc\r\n$60000000\r\n",
+      "*5\r\n$65537\r\n",
+      "*5\r\n$-20\r\n",
+      "*5\r\n$many\r\n",
+      "*5\r\n$99999999999999999999999\r\n",
+      "*5\r\n$1111111111111111111111111111111111",
+      "*1111111111111111111111111111111111111",
+      "*-5\r\n",
+      "*100000\r\n",
+      "ENQUEUE 0 m1"};
+  for (const std::string& bytes : bad) {
+    FakeClient other(loops, forwarder->address());
+    const auto begun = std::chrono::steady_clock::now();
+    other.write(bytes);
+    EXPECT_EQ(other.line().substr(0, 4), "-ERR") << bytes;
+    EXPECT_TRUE(until([&] { return other.closed; })) << bytes;
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, milliseconds(1'500)) << bytes;
+  }
+}
+
+// hiredis takes any two bytes for a word's end. With a length that is short by some bytes the request must
+// not be taken on with a body that is cut.
+TEST_F(NetBed, DoesNotTakeOnARequestWithAWrongLength) {
+  start();
+  client->write(
+      "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nm1\r\n$20\r\nc=safe,d=8000,dest=7\r\n$3\r\nhello\r\n");
+  EXPECT_EQ(client->line().substr(0, 4), "-ERR");
+  EXPECT_TRUE(until([&] { return client->closed; }));
+  EXPECT_EQ(owed(), 0U);
+  EXPECT_TRUE(target.requests.empty());
+}
+
+// The error reaches a client that is still sending: closing on its unread bytes would send a reset, which may
+// destroy what was written before it.
+TEST_F(NetBed, AnErrorSurvivesWhatTheClientStillSends) {
+  start();
+  for (int i = 0; i < 20; ++i) {
+    FakeClient flood(loops, forwarder->address());
+    flood.write("*5\r\n$70000\r\n" + std::string(100'000, 'x'));
+    EXPECT_EQ(flood.line().substr(0, 4), "-ERR");
+    EXPECT_TRUE(until([&] { return flood.closed; }));
+  }
+}
+
+// Hundreds of commands at once that are all wrong: a few errors end the connection; one that errs now and
+// then keeps it.
+TEST_F(NetBed, AFewErrorsInARowEndAConnection) {
+  start();
+  std::string many;
+  for (int i = 0; i < 300; ++i) many += FakeClient::command({"NONSENSE"});
+  FakeClient flood(loops, forwarder->address());
+  flood.write(many);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(flood.line().substr(0, 4), "-ERR");
+  EXPECT_TRUE(until([&] { return flood.closed; }));
+  EXPECT_EQ(flood.line(), "");
+  for (int i = 0; i < 5; ++i) {
+    client->enqueue("x" + std::to_string(i), "safe", 8'000, 99);
+    EXPECT_EQ(client->line(), "-ERR unknown destination");
+    client->enqueue("m" + std::to_string(i), "safe");
+    EXPECT_EQ(client->line(), "+OK");
+  }
+  EXPECT_FALSE(client->closed);
+}
+
+// Answers to a client that does not read them do not pile up: its requests are left unread meanwhile.
+TEST_F(NetBed, ReadsNoMoreFromAClientThatReadsNoAnswers) {
+  start();
+  tcp::socket deaf(io);
+  deaf.open(tcp::v4());
+  deaf.set_option(asio::socket_base::receive_buffer_size(4'096));
+  deaf.connect(forwarder->address());
+  deaf.non_blocking(true);
+  std::string pings;
+  for (int i = 0; i < 1'000; ++i) pings += FakeClient::command({"PING"});
+  std::size_t sent = 0;
+  auto last = std::chrono::steady_clock::now();
+  loops.until(
+      [&] {
+        error_code full;
+        const std::size_t n = deaf.write_some(asio::buffer(pings), full);
+        sent += n;
+        if (n > 0) last = std::chrono::steady_clock::now();
+        return std::chrono::steady_clock::now() - last > milliseconds(300);
+      },
+      milliseconds(5'000));
+  EXPECT_GT(std::chrono::steady_clock::now() - last, milliseconds(300));  // it came to a halt
+  EXPECT_LT(sent, 64U << 20);
+  client->enqueue("m1", "safe");
+  EXPECT_EQ(client->line(), "+OK");
+}
+
+// All parts fit into the limits together, whatever these are.
+TEST_F(NetBed, DealsOutItsLimits) {
+  for (const std::size_t sockets : {64U, 256U, 384U, 1'024U}) {
+    for (const int slots : {3, 12, 60}) {
+      config["limits"] = {{"sockets", sockets}, {"memory_mb", 32}};
+      config["settings"]["familyInfo"]["callsOut"] = slots;
+      const Budget b = budgetOf(parseConfig(config, "x"));
+      EXPECT_LE(b.clients + b.targets + kOwnDescriptors, sockets);
+      EXPECT_LE(b.clientBytes, 8'000'000U);
+      if (sockets >= 256) {
+        EXPECT_GE(b.targets, static_cast<std::size_t>(slots));
+        EXPECT_GE(3 * b.clients, sockets - 3 * kOwnDescriptors);  // a third may be held for requests
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace quilltide::net::testbed
