Forget targets that are gone, with their pools and idle connections; own descriptors are nobody's failure

Seen by reading, each confirmed by a test that fails without its fix: addresses_, kinds_, idle_ and destinations_ only grew; takeIdle() left an empty pool for each target ever called; idle connections of a target that had gone stayed open; a connect that failed for want of a descriptor was told to the module as the target's failure. To blame: src/net/targets.cpp learn(), takeIdle(), giveBack(), Exchange::start(); src/net/forwarder.cpp, destinations_. Now a target is forgotten when a change says that it left, or a whole list does not name it; a destination after it has had no target for the longest deadline, so that messages wait for its next one. Connections to targets have a budget: over it the longest unused idle one makes room, and EMFILE is told as a call not sent.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -39,8 +39,7 @@
       journal_(config.stateFolder, config.diskBytes),
       sender_(config.settings, config.seed),
       targets_(
-          io, config.settings, [this](const Outcome& o) { onOutcome(o); },
-          [this](MessageId id) { onLate(id); }),
+          io, config, [this](const Outcome& o) { onOutcome(o); }, [this](MessageId id) { onLate(id); }),
       discovery_(
           io, config, [this](std::optional<Directory> d) { onDirectory(std::move(d)); },
           [this](const std::vector<std::string>& ids) { onNoticed(ids); }),
@@ -48,8 +47,8 @@
               [this](Submission s, Intake::Answer answer) { submit(std::move(s), std::move(answer)); }),
       tick_(io),
       drain_(io) {
-  targets_.learn(config.known);
-  for (const TargetEntry& e : config.known.view.entries) destinations_.insert(e.destination);
+  for (const ClassSettings& c : settings_.classes) keepDestination_ = std::max(keepDestination_, c.deadline);
+  learn(config.known);
   events_.push_back(config.known.view);
 }
 
@@ -162,12 +161,20 @@
   schedule(steadyNow());
 }
 
+// A destination whose last target has gone may soon have another: messages for it are taken on for as long as
+// one could wait.
+void Forwarder::learn(const Directory& directory) {
+  targets_.learn(directory);
+  const Micros now = steadyNow();
+  for (const std::int64_t destination : targets_.destinations()) destinations_[destination] = now;
+  std::erase_if(destinations_, [&](const auto& d) { return d.second < now - keepDestination_; });
+}
+
 void Forwarder::onDirectory(std::optional<Directory> directory) {
   if (!directory) {
     events_.push_back(DirectoryView{ViewScope::refused, {}});
   } else {
-    targets_.learn(*directory);
-    for (const TargetEntry& e : directory->view.entries) destinations_.insert(e.destination);
+    learn(*directory);
     events_.push_back(std::move(directory->view));
   }
   schedule(steadyNow());
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -40,6 +40,7 @@
   void submit(Submission message, Intake::Answer answer);
   void onOutcome(const Outcome& outcome);
   void onLate(MessageId handle);
+  void learn(const Directory& directory);
   void onDirectory(std::optional<Directory> directory);
   void onNoticed(const std::vector<std::string>& ids);
 
@@ -53,7 +54,8 @@
 
   boost::asio::io_context& io_;
   Settings settings_;
-  std::set<std::int64_t> destinations_;
+  std::map<std::int64_t, Micros> destinations_;  // and when each was last seen to have a target
+  Micros keepDestination_ = 0;
   Journal journal_;
   Sender sender_;
   Targets targets_;
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -39,7 +39,10 @@
 
 class Targets::Line {
  public:
-  explicit Line(asio::io_context& io) : socket(io) {}
+  Line(asio::io_context& io, std::size_t& open) : socket(io), open_(open) { ++open_; }
+  ~Line() { close(); }
+  Line(const Line&) = delete;
+  Line& operator=(const Line&) = delete;
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
   tcp::endpoint peer;
@@ -53,9 +56,16 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
   void close() {
+    if (!counted_) return;
+    counted_ = false;
+    --open_;
     error_code ignored;
     socket.close(ignored);
   }
+
+ private:
+  std::size_t& open_;
+  bool counted_ = true;
 };
 
 // One call: its request, its answer, and what became of each of its parcels.
@@ -74,12 +84,15 @@
       line_ = std::move(line);
       return send();
     }
-    line_ = std::make_shared<Line>(home_.io_);
+    if (home_.open_ >= home_.most_ && !home_.makeRoom()) return notSent();
+    line_ = std::make_shared<Line>(home_.io_, home_.open_);
     line_->peer = address;
     connectBy_ = started_ + std::chrono::microseconds(home_.settings_.connectTimeout);
     arm();
     line_->socket.async_connect(address, [this, self](error_code error) {
       if (over_) return;
+      // No descriptor was free: that is this process's own trouble and tells nothing of the target.
+      if (error == asio::error::no_descriptors || error == asio::error::no_buffer_space) return notSent();
       if (error) return breakOff();
       error_code ignored;
       line_->socket.set_option(tcp::no_delay(true), ignored);
@@ -106,7 +119,7 @@
   void abandon() {
     over_ = true;
     timer_.cancel();
-    line_->close();
+    if (line_) line_->close();
   }
 
  private:
@@ -211,6 +224,18 @@
     home_.finished(shared_from_this());
   }
 
+  // Outcomes never come inside the round that sent the call.
+  void notSent() {
+    over_ = true;
+    timer_.cancel();
+    if (line_) line_->close();
+    asio::post(home_.io_, [this, self = shared_from_this(), alive = home_.alive_] {
+      if (!*alive) return;
+      for (std::size_t i = 0; i < parcels_.size(); ++i) tell(i, Ending::skipped);
+      home_.finished(self);
+    });
+  }
+
   bool closeIfTold() {
     if (std::find(told_.begin(), told_.end(), false) != told_.end()) return false;
     abandon();
@@ -281,8 +306,12 @@
   bool written_ = false, over_ = false;
 };
 
-Targets::Targets(asio::io_context& io, const Settings& settings, OnOutcome outcome, OnLate late)
-    : io_(io), settings_(settings), outcome_(std::move(outcome)), late_(std::move(late)) {
+Targets::Targets(asio::io_context& io, const Config& config, OnOutcome outcome, OnLate late)
+    : io_(io),
+      settings_(config.settings),
+      outcome_(std::move(outcome)),
+      late_(std::move(late)),
+      most_(budgetOf(config).targets) {
   Micros longest = settings_.maxRetryAfter;
   for (const ClassSettings& c : settings_.classes) longest = std::max(longest, c.deadline);
   longestWait_ = kLongestWaits * longest;
@@ -291,22 +320,45 @@
 Targets::~Targets() {
   *alive_ = false;
   for (const auto& exchange : calls_) exchange->abandon();
+  while (!idle_.empty()) closeIdle(TargetId(idle_.begin()->first));
 }
 
 void Targets::learn(const Directory& directory) {
-  for (const auto& [target, address] : directory.addresses) addresses_[target] = address;
-  for (const TargetEntry& e : directory.view.entries) kinds_[e.target] = e.kind;
+  std::set<TargetId> gone;
+  if (directory.view.scope == ViewScope::all) {
+    for (const auto& [target, entry] : known_) gone.insert(target);
+  }
+  for (const TargetEntry& e : directory.view.entries) {
+    if (e.listing == Listing::gone) {
+      gone.insert(e.target);
+      continue;
+    }
+    gone.erase(e.target);
+    known_[e.target] = {directory.addresses.at(e.target), e.kind, e.destination};
+  }
+  for (const TargetId& target : gone) {
+    closeIdle(target);
+    known_.erase(target);
+  }
+}
+
+std::set<std::int64_t> Targets::destinations() const {
+  std::set<std::int64_t> all;
+  for (const auto& [target, entry] : known_) all.insert(entry.destination);
+  return all;
 }
 
 std::size_t Targets::batchOf(const TargetId& target) const {
-  const auto at = kinds_.find(target);
-  if (at == kinds_.end() || static_cast<std::size_t>(at->second) >= settings_.kinds.size()) return 1;
-  return static_cast<std::size_t>(std::max(1, settings_.kinds[static_cast<std::size_t>(at->second)].batch));
+  const auto at = known_.find(target);
+  const std::size_t kind =
+      at == known_.end() ? settings_.kinds.size() : static_cast<std::size_t>(at->second.kind);
+  return kind < settings_.kinds.size() ? static_cast<std::size_t>(std::max(1, settings_.kinds[kind].batch))
+                                       : 1;
 }
 
 void Targets::call(const TargetId& target, std::vector<Parcel> parcels) {
-  const auto at = addresses_.find(target);
-  if (at == addresses_.end()) {  // outcomes never come inside the round that sent the call
+  const auto at = known_.find(target);
+  if (at == known_.end()) {  // outcomes never come inside the round that sent the call
     for (const Parcel& p : parcels) {
       Outcome o;
       o.id = p.handle;
@@ -319,7 +371,7 @@
   }
   auto exchange = std::make_shared<Exchange>(*this, target, std::move(parcels));
   calls_.insert(exchange);
-  exchange->start(takeIdle(target, at->second), at->second);
+  exchange->start(takeIdle(target, at->second.address), at->second.address);
 }
 
 void Targets::later(Outcome outcome) {
@@ -339,38 +391,65 @@
 void Targets::finished(const std::shared_ptr<Exchange>& exchange) { calls_.erase(exchange); }
 
 std::shared_ptr<Targets::Line> Targets::takeIdle(const TargetId& target, const tcp::endpoint& address) {
-  auto& pool = idle_[target];
+  const auto pool = idle_.find(target);
+  if (pool == idle_.end()) return nullptr;
   const auto keep = std::chrono::microseconds(settings_.connectionIdle) - kIdleMargin;
-  while (!pool.empty()) {
-    std::shared_ptr<Line> line = pool.back();
-    pool.pop_back();
+  std::shared_ptr<Line> found;
+  while (!found && !pool->second.empty()) {
+    std::shared_ptr<Line> line = std::move(pool->second.back());
+    pool->second.pop_back();
     ++line->use;
     error_code ignored;
     line->socket.cancel(ignored);
     const bool rested = settings_.connectionIdle > 0 && Clock::now() - line->lastUse >= keep;
-    if (!rested && line->peer == address && line->usable()) return line;
-    line->close();
+    if (!rested && line->peer == address && line->usable()) {
+      found = std::move(line);
+    } else {
+      line->close();
+    }
   }
-  return nullptr;
+  if (pool->second.empty()) idle_.erase(pool);
+  return found;
 }
 
 void Targets::giveBack(const TargetId& target, std::shared_ptr<Line> line) {
+  if (!known_.contains(target)) return line->close();
   line->lastUse = Clock::now();
   const int use = ++line->use;
   line->socket.async_wait(tcp::socket::wait_read, [this, alive = alive_, target, line, use](error_code) {
     if (!*alive || line->use != use) return;
     line->close();
-    std::erase(idle_[target], line);
+    const auto pool = idle_.find(target);
+    if (pool == idle_.end()) return;
+    std::erase(pool->second, line);
+    if (pool->second.empty()) idle_.erase(pool);
   });
   idle_[target].push_back(std::move(line));
 }
 
+// With every place taken the longest unused idle connection makes room, wherever it leads.
+bool Targets::makeRoom() {
+  auto oldest = idle_.end();
+  for (auto at = idle_.begin(); at != idle_.end(); ++at) {
+    if (oldest == idle_.end() || at->second.front()->lastUse < oldest->second.front()->lastUse) oldest = at;
+  }
+  if (oldest == idle_.end()) return false;
+  const auto line = oldest->second.front();
+  ++line->use;
+  line->close();
+  oldest->second.erase(oldest->second.begin());
+  if (oldest->second.empty()) idle_.erase(oldest);
+  return true;
+}
+
 void Targets::closeIdle(const TargetId& target) {
-  for (const auto& line : idle_[target]) {
+  const auto pool = idle_.find(target);
+  if (pool == idle_.end()) return;
+  for (const auto& line : pool->second) {
     ++line->use;
     line->close();
   }
-  idle_.erase(target);
+  idle_.erase(pool);
 }
 
 std::size_t Targets::idle(const TargetId& target) const {
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "budget.hpp"
 #include "config.hpp"
 
 namespace quilltide::net {
@@ -27,9 +28,10 @@
   using OnOutcome = std::function<void(const Outcome&)>;
   using OnLate = std::function<void(MessageId)>;
 
-  Targets(boost::asio::io_context& io, const Settings& settings, OnOutcome outcome, OnLate late);
+  Targets(boost::asio::io_context& io, const Config& config, OnOutcome outcome, OnLate late);
   ~Targets();
 
+  // Who is gone is forgotten with its idle connections; calls that are out there end by themselves.
   void learn(const Directory& directory);
   std::size_t batchOf(const TargetId& target) const;  // messages that one call may carry there
   void call(const TargetId& target, std::vector<Parcel> parcels);
@@ -37,13 +39,22 @@
   void closeIdle(const TargetId& target);
   std::size_t callsOut() const { return calls_.size(); }
   std::size_t idle(const TargetId& target) const;
+  std::size_t known() const { return known_.size(); }
+  std::set<std::int64_t> destinations() const;
+  std::size_t connections() const { return open_; }
 
  private:
+  struct Known {
+    tcp::endpoint address;
+    int kind = 0;
+    std::int64_t destination = 0;
+  };
   class Line;
   class Exchange;
   friend class Exchange;
 
   std::shared_ptr<Line> takeIdle(const TargetId& target, const tcp::endpoint& address);
+  bool makeRoom();
   void giveBack(const TargetId& target, std::shared_ptr<Line> line);
   void finished(const std::shared_ptr<Exchange>& exchange);
   void later(Outcome outcome);
@@ -53,9 +64,10 @@
   OnOutcome outcome_;
   OnLate late_;
   Micros longestWait_ = 0;
-  std::map<TargetId, tcp::endpoint> addresses_;
-  std::map<TargetId, int> kinds_;
-  std::map<TargetId, std::vector<std::shared_ptr<Line>>> idle_;  // the most recently used last
+  std::map<TargetId, Known> known_;  // those that discovery lists, and those that it lists as leaving
+  std::map<TargetId, std::vector<std::shared_ptr<Line>>> idle_;  // the most recently used last; none is empty
+  std::size_t open_ = 0;  // connections: those of calls and the idle ones
+  std::size_t most_;
   std::set<std::shared_ptr<Exchange>> calls_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/tests/growth_test.cpp
@@ -0,0 +1,133 @@
+// A long day: targets, clients and keys are ever new, and nothing of what is gone may stay.
+#include <sys/resource.h>
+
+#include "net/budget.hpp"
+#include "net_bed.hpp"
+
+namespace quilltide::net::testbed {
+namespace {
+
+using Link = FakeServer::Link;
+using std::chrono::milliseconds;
+
+Directory change(const json& targets, bool all = false) {
+  return parseDirectory({{"rev", 1}, {"all", all}, {"targets", targets}}, {{}, {"large"}, {"levis"}});
+}
+
+struct TargetsBed : NetBed {
+  TargetsBed() {
+    targets = std::make_unique<Targets>(
+        *loops.own, parseConfig(config, "x"), [this](const Outcome& o) { outcomes.push_back(o); },
+        [](MessageId) {});
+  }
+  void call(const TargetId& to) {
+    Parcel p;
+    p.handle = 1;
+    p.id = "m";
+    p.timeout = 1'000'000;
+    targets->call(to, {p});
+  }
+  std::unique_ptr<Targets> targets;
+  std::vector<Outcome> outcomes;
+};
+
+// Targets come under new ids, at addresses of ones that have gone: who is gone takes its pool and its idle
+// connections with it, and the new one is called on a connection of its own.
+TEST_F(TargetsBed, ForgetsWhoIsGone) {
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "t" + std::to_string(i);
+    targets->learn(change(json::array({entry(id, target.text())})));
+    call(id);
+    ASSERT_TRUE(until([&] { return outcomes.size() == static_cast<std::size_t>(i) + 1; }));
+    ASSERT_EQ(outcomes.back().ending, Ending::done);
+    EXPECT_EQ(targets->idle(id), 1U);
+    targets->learn(change(json::array({entry(id, target.text(), "left")})));
+    EXPECT_EQ(targets->known(), 0U);
+    EXPECT_EQ(targets->connections(), 0U);
+  }
+  EXPECT_TRUE(until([&] { return target.ended == 200; }));
+}
+
+// A whole list names all there are; a call that is out at one that has gone still ends, and keeps nothing.
+TEST_F(TargetsBed, AWholeListForgetsWhomItDoesNotName) {
+  std::shared_ptr<Link> held;
+  target.handler = [&](Link&) { held = target.links.back(); };
+  targets->learn(change(json::array({entry("t1", target.text()), entry("t2", target.text())})));
+  call("t1");
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  targets->learn(change(json::array({entry("t2", target.text())}), true));
+  EXPECT_EQ(targets->known(), 1U);
+  held->write(FakeServer::answer(200));
+  ASSERT_TRUE(until([&] { return outcomes.size() == 1; }));
+  EXPECT_EQ(outcomes[0].ending, Ending::done);
+  EXPECT_EQ(targets->connections(), 0U);
+}
+
+// An idle connection that the target closes leaves nothing behind.
+TEST_F(TargetsBed, KeepsNoPoolOfConnectionsThatEnded) {
+  targets->learn(change(json::array({entry("t1", target.text())})));
+  call("t1");
+  ASSERT_TRUE(until([&] { return targets->idle("t1") == 1; }));
+  target.links[0]->close();
+  EXPECT_TRUE(until([&] { return targets->connections() == 0; }));
+  EXPECT_EQ(targets->idle("t1"), 0U);
+}
+
+// More targets than places for connections: the longest unused idle one makes room.
+TEST_F(TargetsBed, MakesRoomAmongItsIdleConnections) {
+  config["limits"]["sockets"] = 40;
+  const std::size_t most = budgetOf(parseConfig(config, "x")).targets;
+  targets = std::make_unique<Targets>(
+      *loops.own, parseConfig(config, "x"), [this](const Outcome& o) { outcomes.push_back(o); },
+      [](MessageId) {});
+  for (std::size_t i = 0; i < 3 * most; ++i) {
+    const std::string id = "t" + std::to_string(i);
+    targets->learn(change(json::array({entry(id, target.text())})));
+    call(id);
+    ASSERT_TRUE(until([&] { return outcomes.size() == i + 1; }));
+    ASSERT_EQ(outcomes.back().ending, Ending::done);
+    EXPECT_LE(targets->connections(), most);
+  }
+  EXPECT_EQ(targets->idle("t0"), 0U);
+  EXPECT_EQ(targets->idle("t" + std::to_string(3 * most - 1)), 1U);
+}
+
+// Out of descriptors a call was not sent: that says nothing of the target, and must not count against it.
+TEST_F(TargetsBed, DoesNotBlameATargetForItsOwnDescriptors) {
+  targets->learn(change(json::array({entry("t0", target.text()), entry("t1", target.text())})));
+  call("t0");  // the loop has its own descriptors from now on
+  ASSERT_TRUE(until([&] { return outcomes.size() == 1; }));
+  outcomes.clear();
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int probe = ::dup(0);
+  rlimit none = before;
+  none.rlim_cur = static_cast<rlim_t>(probe);
+  setrlimit(RLIMIT_NOFILE, &none);
+  call("t1");
+  const bool ended = until([&] { return !outcomes.empty(); });
+  setrlimit(RLIMIT_NOFILE, &before);
+  ::close(probe);
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(outcomes[0].ending, Ending::skipped);
+  EXPECT_EQ(targets->callsOut(), 0U);
+}
+
+// Between the last target of a destination and its next one messages are taken on, and delivered when it is
+// there.
+TEST_F(NetBed, HoldsMessagesForADestinationBetweenTwoTargets) {
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  discovery.chunk(
+      json{{"rev", 42}, {"all", false}, {"targets", json::array({entry("t1", target.text(), "left")})}}
+          .dump());
+  pause(30);
+  client->enqueue("m1", "unsafe");
+  EXPECT_EQ(client->line(), "+OK");
+  discovery.chunk(
+      json{{"rev", 43}, {"all", false}, {"targets", json::array({entry("t2", target.text())})}}.dump());
+  EXPECT_TRUE(until([&] { return target.requests.size() == 1 && owed() == 0; }));
+}
+
+}  // namespace
+}  // namespace quilltide::net::testbed
