A recovered backlog is no ticket stop: it must not trip what a trial has just closed

To blame: src/logic.cpp, countStop(): all held messages count as stops in the round that a lane closes in.

--- a/src/state.hpp
+++ b/src/state.hpp
@@ -126,6 +126,7 @@
 
   // Attempts from before a restart bind like this sender's own.
   void resume(const Recovered& past, Micros now, int zone) {
+    stopped = true;  // it was held before: a backlog that wakes with its sender must not trip what is well
     attempts = past.attempts;
     mayHaveRun = past.mayHaveRun;
     if (!mayHaveRun) return;
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -79,6 +79,38 @@
   EXPECT_EQ(bed.ended(), 40U);
 }
 
+// A sender that wakes with a backlog: its messages were held before, so their ticket stops are no errors, or
+// they would trip the breaker in the very round that a trial closed it in.
+TEST(Breaker, ARecoveredBacklogDoesNotParkItsDestinationAgain) {
+  Bed bed(Bed::plain());
+  bed.list({"t1"});
+  bed.arrive();
+  bed.step(50'000);
+  bed.finish(Ending::done);
+  bed.arrive();
+  for (int i = 0; i < 2; ++i) {
+    bed.step(5'000);
+    ASSERT_EQ(bed.out(), 1U);
+    bed.finish(Ending::connectFailed);
+  }
+  for (MessageId id = 100; id < 112; ++id) {
+    Arrival a;
+    a.id = id;
+    a.destination = 1;
+    a.left = 16'000'000;
+    a.recovered = Recovered{};
+    bed.give({a});
+  }
+  ASSERT_EQ(bed.out(), 0U);
+  bed.stepUntilCall(2'500'000);
+  ASSERT_EQ(bed.out(), 1U);  // the trial
+  for (int i = 0; i < 12; ++i) {
+    bed.step(50'000);
+    ASSERT_GE(bed.out(), 1U) << i;
+    bed.finish(Ending::done);
+  }
+}
+
 TEST(Busy, AboveALimitItPacesAndDoesNotPark) {
   Bed bed(Bed::plain());
   bed.list({"a"});
