A reset between close answers is a counted error, and no step to an outage

Checked: no crash, no broken rule, 1 MB, 56 descriptors, 5% of a core: neither load nor limits; the resets are single connections' (closed right after an answer, reset under a request), at destinations that answer all the while. To blame: src/logic.cpp, judge(): two resets in a row tripped the breaker, marked an outage, and brought the destination back by a ramp of 13 s. Now a reset within 1.5 aims of an answer feeds the breaker by the share of errors alone, as an unreadable answer does. A destination that crashed refuses the next connects, which count in full.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -548,6 +548,12 @@
       lane.pauseUntil = now_ + wait + static_cast<Micros>(pause * (0.5 + random_.uniform()));
   }
 
+  // Some networks break single connections, at destinations that are well: a reset between close answers
+  // tells nothing of the destination. One that crashed refuses the next connects, and these count in full.
+  bool brokeAlone(const Lane& lane, const Outcome& o) const {
+    return o.ending == Ending::reset && now_ - lane.lastDone < static_cast<Micros>(kCalmAims * aim_);
+  }
+
   void judge(Flight& f, const Outcome& o) {
     const auto at = endpoints_.find(f.target);
     if (at == endpoints_.end() || o.ending == Ending::skipped) return;
@@ -568,10 +574,9 @@
         succeed(*lane, f.target, o.duration, f.trial);
       } else if (o.ending == Ending::busy) {
         if (lane == &mainLane(ep)) refused(*lane, f.target, o.wait);
-      } else if (o.spoilt && lane->state == State::closed) {
-        // It answered, and took the call: a counted error, but no trouble of its own and no step to an
-        // outage.
-        lane->answeredSince = std::max(lane->answeredSince, f.sent);
+      } else if (lane->state == State::closed && (o.spoilt || brokeAlone(*lane, o))) {
+        // It answers: a counted error, but no trouble of its own and no step to an outage.
+        if (o.spoilt) lane->answeredSince = std::max(lane->answeredSince, f.sent);
         lane->errors.add(now_, window_, 1);
         checkTrip(*lane, f.target);
       } else if (o.ending != Ending::canceled &&
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -111,6 +111,41 @@
   }
 }
 
+// Connections that break one by one, while other calls there are answered, park nothing; the refused connects
+// of a destination that crashed do.
+TEST(Breaker, ResetsBetweenAnswersDoNotPark) {
+  Bed bed(Bed::plain());
+  bed.list({"t1"});
+  for (int i = 0; i < 4; ++i) {
+    bed.arrive();
+    bed.step(50'000);
+    ASSERT_EQ(bed.out(), 1U);
+    bed.finish(Ending::done);
+    bed.arrive();
+    for (int k = 0; k < 2; ++k) {
+      bed.step(50'000);
+      ASSERT_EQ(bed.out(), 1U) << i << k;  // it goes again at once
+      bed.finish(Ending::reset);
+    }
+    bed.step(50'000);
+    ASSERT_EQ(bed.out(), 1U);
+    bed.finish(Ending::done);
+    for (int k = 0; k < 3; ++k) {
+      bed.arrive();
+      bed.step(50'000);
+      bed.finish(Ending::done);
+    }
+  }
+  bed.arrive();
+  for (int i = 0; i < 2; ++i) {
+    bed.step(5'000);
+    ASSERT_EQ(bed.out(), 1U);
+    bed.finish(Ending::connectFailed);
+  }
+  bed.step(5'000);
+  EXPECT_EQ(bed.out(), 0U);
+}
+
 TEST(Busy, AboveALimitItPacesAndDoesNotPark) {
   Bed bed(Bed::plain());
   bed.list({"a"});
