A destination that loses part of its calls is not parked for a streak; what comes back starts small

So each trial closed the breaker, the next batch was lost, and two losses or five ticket stops opened it again for two seconds and more. Ruled out: the line just given back (new ones lose as often), the module's guess of idle connections (losses on 'idle' and 'new' alike), wait, pace.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -40,6 +40,7 @@
 constexpr double kFullRoom = 0.95;      // share of the holding room above which the least worthy is refused
 constexpr double kFeeAims = 0.25;       // a message waits this long for a cheaper route
 constexpr double kLossShare = 0.05;     // of all calls lost while later ones are answered: lossy
+constexpr double kLeastLost = 1.5;      // and more than one, or it was a single dead connection
 constexpr double kFalseTrip = 0.01;     // chance that lost calls alone trip a breaker then
 constexpr double kCalmAims = 1.5;       // silence between answers this close is no outage
 constexpr std::size_t kRecent = 15;     // calls that tell whether all are slow
@@ -143,6 +144,8 @@
     }
     if (f.overdue && !f.judged && o.ending == Ending::done)
       losses_.add(now_, kCalmAims * aim_, -1);  // only long
+    if (f.lost && !f.judged && o.ending == Ending::done && place != endpoints_.end())
+      for (Lane* lane : lanesOf(place->second)) lane->lost.add(now_, window_, -1);
     if (!f.judged) {
       f.judged = true;
       judge(f, o);
@@ -446,6 +449,7 @@
     }
     lane.state = State::open;
     lane.tickets = kFirstTickets;
+    lane.batch = 1;
     lane.rampFrom = -1;
     postpone(lane);
   }
@@ -461,15 +465,15 @@
       lane.provenOnly = proven && (lane.provenOnly || lane.streak == 1);
     }
     // A sender that comes seldom learns nothing more in time: the first silence parks, a late answer reopens.
-    if (silent && !lost && seldom(lane)) trip(lane, target);
+    if (silent && !lost && seldom(lane) && lossAt(lane) <= kLossShare) trip(lane, target);
     checkTrip(lane, target);
   }
 
   void checkTrip(Lane& lane, const TargetId& target) {
     const double errors = lane.errors.get(now_, window_);
     const bool counted =
-        errors >= kErrorCount && errors >= (kErrorShare + lossShare() / 2) * lane.calls.get(now_, window_);
-    if (lane.state != State::closed || counted || lane.streak >= streakThatTrips()) trip(lane, target);
+        errors >= kErrorCount && errors >= (kErrorShare + lossAt(lane) / 2) * lane.calls.get(now_, window_);
+    if (lane.state != State::closed || counted || lane.streak >= streakThatTrips(lane)) trip(lane, target);
   }
 
   // Where answers are lost at random everywhere, a streak must be longer to tell a destination's own trouble.
@@ -477,8 +481,17 @@
     const double calls = allCalls_.get(now_, kCalmAims * aim_);
     return calls < kErrorCount ? 0 : std::clamp(losses_.get(now_, kCalmAims * aim_) / calls, 0.0, 0.5);
   }
-  int streakThatTrips() const {
-    const double share = lossShare();
+  // The same where one destination loses part of its calls and answers those behind them: to park it for each
+  // streak would serve it by trials alone. It guards as well against dead connections and single sick
+  // machines behind one address. Should it then fall silent altogether, up to five more calls are lost to
+  // find out.
+  double lossAt(const Lane& lane) const {
+    const double lost = lane.lost.get(now_, window_), calls = lost + lane.answered.get(now_, window_);
+    const double own = lost < kLeastLost ? 0 : std::min(lost / calls, 0.5);
+    return std::max(lossShare(), own);
+  }
+  int streakThatTrips(const Lane& lane) const {
+    const double share = lossAt(lane);
     if (share < kLossShare) return kErrorStreak;
     return std::max(kErrorStreak, static_cast<int>(std::ceil(std::log(kFalseTrip) / std::log(share))));
   }
@@ -500,11 +513,12 @@
     lane.streak = 0;
     lane.refusals = 0;
     lane.taken.add(now_, aim_, 1);
+    lane.answered.add(now_, window_, 1);
+    if (lane.batch > 0) lane.batch = std::min(2 * lane.batch, 1024);
     if (lane.state == State::closed && lane.rampFrom < 0 && !troubled(lane))
       lane.outage = lane.answeredBadly = false;
     if (lane.state != State::closed && (trial || onlyLong)) {
       lane.state = State::closed;
-      lane.closedAt = now_;
       lane.errors = lane.calls = Fading{};
       lane.tickets = kFirstTickets;
       // Silence between close answers was no outage; errors and refusals may be a partial one. Silence that
@@ -583,8 +597,7 @@
         lane->errors.add(now_, window_, 1);
         checkTrip(*lane, f.target);
       } else if (o.ending != Ending::canceled && f.overdue) {
-        // Counted when it ran long; now known to have failed. The breaker may have closed since.
-        if (f.sent < lane->closedAt) continue;
+        // Counted when it ran long; now known to have failed.
         lane->outage = true;
         lane->provenOnly = false;
         lane->lastTrouble = now_;
@@ -689,15 +702,21 @@
       const auto limit = static_cast<Micros>(stretch * static_cast<double>(f.overdueAt - f.sent));
       if (f.calledOff || now_ < f.sent + limit || at == endpoints_.end()) continue;
       const Lane& main = mainLane(at->second);
+      if (f.overdue && !f.lost && main.answeredSince > f.sent) {
+        f.lost = true;
+        for (Lane* lane : lanesOf(at->second)) lane->lost.add(now_, window_, 1);
+      }
+      const bool lossy = lossAt(main) > kLossShare;
       const double patient = std::min(f.patience, patience(main, aim_));
-      if (!f.hung && (f.overdue || f.judged) &&
-          (f.sent < main.closedAt || static_cast<double>(now_ - f.sent) >= patient)) {
+      if (!f.hung && (f.overdue || f.judged) && (lossy || static_cast<double>(now_ - f.sent) >= patient)) {
         f.hung = true;
         for (Lane* lane : lanesOf(at->second)) lane->hung += 1;
       }
       const bool overtaken = f.judged || mainLane(at->second).answeredSince > f.sent;
       if (!f.overdue && !f.judged) {
         f.overdue = true;
+        for (Lane* lane : lanesOf(at->second))
+          lane->batch = std::max(1, static_cast<int>(f.attempts.size()) / 2);
         lostOnIdle(at->second, f);
         for (Lane* lane : lanesOf(at->second)) {
           const bool lost = lane->answeredSince > f.sent || f.stale;
@@ -711,7 +730,7 @@
         f.counted = true;
         losses_.add(now_, kCalmAims * aim_, 1);
       }
-      if (s_.mayCancel && (f.judged || f.stale || lossShare() > kLossShare ||
+      if (s_.mayCancel && (f.judged || f.stale || lossy ||
                            (overtaken && now_ > f.sent + 2 * limit && 4 * slotsTaken_ >= 3 * s_.slots))) {
         callOff(f, now_ - f.sent, limit);
       }
@@ -719,12 +738,12 @@
   }
 
   // Messages that may not go again are waited for until their end, long after the others of their call timed
-  // out, and so keep its place. Past that time-out, or once overdue when the breaker has closed since, the
-  // call is hung: it has given its ticket back, or one silence would stop all calls there for as long as the
-  // last such message lives. Where hung calls hold every place that the bulkhead or the slots allow, the
-  // oldest is given up for the call that is due. This guards against hangs, dead connections and slow
-  // destinations alike; it does harm where an answer would still come after so long, by one call's messages
-  // for each new call.
+  // out, and so keep its place. Past that time-out, or once overdue where calls get lost, the call is hung:
+  // it has given its ticket back, or one silence would stop all calls there for as long as the last such
+  // message lives. Where hung calls hold every place that the bulkhead or the slots allow, the oldest is
+  // given up for the call that is due. This guards against hangs, dead connections and slow destinations
+  // alike; it does harm where an answer would still come after so long, by one call's messages for each new
+  // call.
   void giveUpHung() {
     std::set<const Lane*> leaving;
     for (const auto& [id, f] : flights_) {
@@ -826,6 +845,13 @@
   double patience(const Lane& lane, double aim) const {
     return std::max(kTimeoutUsual * usualOf(lane) * slownessOfAll(), kTimeoutAims * aim);
   }
+  // A call is lost with all that it carries: where one went unanswered the next carry less, after a breaker
+  // opened one message each, and each answer doubles that again. It costs calls where an answer was only
+  // late.
+  int batchFor(Endpoint& ep) {
+    const int most = kindOf(ep).batch, now = mainLane(ep).batch;
+    return now > 0 ? std::min(now, most) : most;
+  }
   Micros timeoutOf(const Message& m, const Lane& lane) {
     const ClassSettings& c = classOf(m);
     const Micros left = m.deadline - now_;
@@ -864,8 +890,8 @@
         continue;
       }
       launch(*ep, d, m, trial);
-      if (kindOf(*ep).batch > 1 && !trial) {
-        int room = kindOf(*ep).batch - 1;
+      if (const int most = batchFor(*ep); most > 1 && !trial) {
+        int room = most - 1;
         for (const MessageId other : lines[m.destination]) {
           if (room == 0) break;
           Message& more = messages_.at(other);
@@ -878,14 +904,15 @@
   }
 
   // A ticket stop is an instant error, counted once a hold while calls there run long or fail: a burst at a
-  // healthy destination must not park it. Only trouble since the breaker closed counts: what was held
-  // meanwhile meets the one ticket of a lane that is just back, and would trip again what a trial has just
-  // closed. Should the lane be sick after all, its next calls say so.
+  // healthy destination must not park it. None counts on the ramp, where what was held meets the one ticket
+  // of a lane that is just back, nor where calls get lost: there the tickets tell of losses and not of
+  // slowness. Should the lane be sick after all, its next calls say so.
   void countStop(Message& m, Destination& d) {
     m.stopped = true;
     for (auto& [target, ep] : d.endpoints) {
       Lane& lane = mainLane(*ep);
-      if (!troubled(lane) || lane.lastTrouble <= lane.closedAt || lane.state != State::closed) continue;
+      if (!troubled(lane) || lane.state != State::closed || lane.rampFrom >= 0) continue;
+      if (lossAt(lane) > kLossShare) continue;
       lane.errors.add(now_, window_, 1);
       lane.calls.add(now_, window_, 1);
       checkTrip(lane, target);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -57,12 +57,13 @@
 struct Lane {
   double tickets = 0;  // 0: not yet set
   int inFlight = 0;
-  int hung = 0;  // of these, calls past their time-out that are still waited for
+  int batch = 0;  // messages that a call may carry, once one went unanswered; 0: as many as its kind allows
+  int hung = 0;   // of these, calls past their time-out that are still waited for
   State state = State::closed;
   Fading errors, calls;  // in the breaker's window; ticket stops among them
   int streak = 0;        // failures since the last success
   Micros lastTrouble = -kNever;
-  Micros nextTrial = 0, openFor = 0, openedAt = 0, closedAt = -1;
+  Micros nextTrial = 0, openFor = 0, openedAt = 0;
   int trialsOut = 0;
   bool outage = false;         // failed, refused or unanswered since the last calm: return by the ramp
   bool provenOnly = true;      // the failures of this outage proved that nothing ran
@@ -74,9 +75,10 @@
   Micros refusedFrom = 0, lastCut = -kNever;
   double pace = 0;  // calls a second; 0: none
   Bucket paced;
-  Fading taken;       // calls answered
-  Fading asked;       // messages that came for it, each once
-  double rating = 0;  // the destination's rate over all senders, if the list or a report gives one
+  Fading taken;           // calls answered
+  Fading answered, lost;  // in the breaker's window: calls answered, and those that later ones overtook
+  Fading asked;           // messages that came for it, each once
+  double rating = 0;      // the destination's rate over all senders, if the list or a report gives one
   Micros lastDone = -kNever;
   Micros unanswered = -1;          // send time of a call that ended without an answer
   Micros answeredSince = -kNever;  // latest send time of a call that was answered
@@ -142,10 +144,11 @@
   std::int64_t destination = 0;
   TargetId target;
   Micros sent = 0, overdueAt = kNever;
-  Micros idle = 0;  // how long its connection had not been used; 0: a new one
+  Micros idle = 0;      // how long its connection had not been used; 0: a new one
   double patience = 0;  // how long a call may take, as it seemed when this one left
   int pending = 0;
-  bool trial = false, judged = false, overdue = false, calledOff = false, counted = false, hung = false;
+  bool trial = false, judged = false, overdue = false, calledOff = false, counted = false, hung = false,
+       lost = false;
   bool stale = false;  // lost on an idle connection, as it seems
 };
 
