--- a/src/doors/http/door.cpp
+++ b/src/doors/http/door.cpp
@@ -32,6 +32,10 @@
 constexpr auto kLinger =
     milliseconds(500);  // closing on bytes unread would send a reset that may destroy the answer
 constexpr std::size_t kMostDiscarded = 256 * 1024;
+// Requests of one connection, each sent before the last one's answer and none with a message: who sends more
+// of them waits for a turn with the others that do.
+constexpr std::size_t kAtOnce = 16;
+constexpr std::size_t kInAPace = 4;
 constexpr auto kRest = milliseconds(2'000);  // a kept connection may go for another one after it
 
 std::string text(const json& value) { return value.dump(-1, ' ', false, json::error_handler_t::replace); }
@@ -164,7 +168,9 @@
     parser_.emplace();
     parser_->header_limit(kLongestHead);
     parser_->body_limit(std::max(home_->settings_.batchBytes, kLongestBody) + 1);
-    if (buffer_.size() > 0) return readHead();  // pipelined
+    error_code unknown;
+    if (buffer_.size() > 0 || (proven_ && socket_.available(unknown) > 0 && !unknown)) return nextInLine();
+    fruitless_ = 0;
     if (home_->draining_ && proven_) return close();
     // A client that never asked anything gets no longer than one request may take.
     within(proven_ ? home_->settings_.idle : home_->settings_.request, [this] { close(); });
@@ -175,6 +181,17 @@
     });
   }
 
+  // Pipelined.
+  void nextInLine() {
+    if (fruitless_ < kAtOnce) return readHead();
+    state_ = State::reading;
+    home_->pace_.wait([this, self = shared_from_this()] {
+      if (closed_ || state_ != State::reading) return false;
+      readHead();
+      return true;
+    });
+  }
+
   void readHead() {
     state_ = State::reading;
     touch();
@@ -263,6 +280,8 @@
     timer_.cancel();
     proven_ = true;
     keepAlive_ = parser_->keep_alive();
+    const bool message = routed_.call == api::Call::submit || routed_.call == api::Call::submitMany;
+    fruitless_ = message ? 0 : fruitless_ + 1;
     switch (routed_.call) {
       case api::Call::submit:
         return submit();
@@ -564,6 +583,7 @@
   std::string out_;             // of a stream
   std::uint64_t position_ = 0;  // of a stream: the last one written
   std::size_t claimed_ = 0;     // by Content-Length
+  std::size_t fruitless_ = 0;   // pipelined requests since the last one with a message
   std::size_t held_ = 0, discarded_ = 0;
   bool keepAlive_ = true;
   bool proven_ = false;  // has sent a whole request
@@ -582,6 +602,7 @@
           io, "http",
           {[this] { return turnedAway_ < turnedAwayAtMost_; },
            [this](tcp::socket socket) { accepted(std::move(socket)); }, [this] { makeRoom(clients_); }}),
+      pace_(io, kInAPace),
       random_((static_cast<std::uint64_t>(std::random_device()()) << 32) ^ std::random_device()()) {
   engine_.subscribe([this, alive = alive_](const Answered& answered) {
     if (*alive) ended(answered);
--- a/src/doors/http/door.hpp
+++ b/src/doors/http/door.hpp
@@ -14,6 +14,7 @@
 #include "config/product.hpp"
 #include "doors/connections/clients.hpp"
 #include "doors/connections/listener.hpp"
+#include "doors/connections/pace.hpp"
 #include "engine/engine.hpp"
 
 namespace quilltide::net {
@@ -55,6 +56,7 @@
   Engine& engine_;
   Clients<Client> clients_;
   Listener listener_;
+  Pace pace_;
   std::size_t turnedAway_ = 0;  // of them: get a refusal and nothing else
   std::size_t waiting_ = 0;     // of them: long polls and streams
   std::size_t heldBytes_ = 0;   // of requests that are not answered yet
--- a/src/doors/resp/door.cpp
+++ b/src/doors/resp/door.cpp
@@ -26,10 +26,7 @@
 // Requests of one client in one turn of the loop, as many as one piece of ordinary ones holds; then the
 // others have theirs, at this door and at the next.
 constexpr std::size_t kAtOnce = 64;
-// A flood of PINGs costs little to send, and a loop that answers them all as they come has no time for
-// messages: of the clients that had a whole turn without a message so many have another one in each pace.
-constexpr auto kPace = milliseconds(1);
-constexpr std::size_t kInAPace = 2;
+constexpr std::size_t kInAPace = 2;  // turns of those that had a whole one without a message
 constexpr auto kSweep = milliseconds(100);
 // Who says nothing, or half a request, is owed an end within 3 s; a rest of 2 s may always be ended.
 constexpr auto kSilence = milliseconds(2'200);
@@ -217,7 +214,7 @@
   void later() {
     hold(reader_.unread());
     more_ = true;
-    if (flooding_) return home_->pace(shared_from_this());
+    if (flooding_) return home_->pace_.wait([self = shared_from_this()] { return self->goOn(); });
     asio::post(home_->io_, [self = shared_from_this()] { self->goOn(); });
   }
 
@@ -322,7 +319,7 @@
           {[this] { return clients_.size() < share_.connections || makeRoom(clients_); },
            [this](tcp::socket socket) { accepted(std::move(socket)); }, [this] { makeRoom(clients_); }}),
       sweep_(io),
-      pace_(io) {}
+      pace_(io, kInAPace) {}
 
 RespDoor::~RespDoor() {
   for (const auto& client : Clients<Client>(clients_)) client->orphan();
@@ -353,24 +350,6 @@
   });
 }
 
-void RespDoor::pace(std::shared_ptr<Client> client) {
-  paced_.push_back(std::move(client));
-  if (paced_.size() == 1) goOnLater();
-}
-
-void RespDoor::goOnLater() {
-  pace_.expires_after(kPace);
-  pace_.async_wait([this](error_code error) {
-    if (error) return;
-    for (std::size_t done = 0; done < kInAPace && !paced_.empty();) {
-      const auto client = paced_.front();
-      paced_.pop_front();
-      done += client->goOn() ? 1 : 0;
-    }
-    if (!paced_.empty()) goOnLater();
-  });
-}
-
 // The answer, or nothing if it comes later.
 std::string RespDoor::submit(std::vector<std::string>& words, const std::shared_ptr<Client>& client,
                              std::size_t slot) {
--- a/src/doors/resp/door.hpp
+++ b/src/doors/resp/door.hpp
@@ -5,7 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,6 +13,7 @@
 #include "config/platform.hpp"
 #include "doors/connections/clients.hpp"
 #include "doors/connections/listener.hpp"
+#include "doors/connections/pace.hpp"
 #include "engine/engine.hpp"
 
 namespace quilltide::net {
@@ -35,8 +35,6 @@
 
   void accepted(tcp::socket socket);
   void sweep();
-  void pace(std::shared_ptr<Client> client);
-  void goOnLater();
   std::string submit(std::vector<std::string>& words, const std::shared_ptr<Client>& client,
                      std::size_t slot);
 
@@ -46,10 +44,10 @@
   Engine& engine_;
   Clients<Client> clients_;
   Listener listener_;
-  boost::asio::steady_timer sweep_, pace_;
-  std::deque<std::shared_ptr<Client>> paced_;  // each in its turn, when the timer says so
-  std::size_t heldBytes_ = 0;                  // of requests that are not whole yet
-  std::array<char, 16 * 1024> scratch_;        // each read is taken out of it before the next
+  boost::asio::steady_timer sweep_;
+  Pace pace_;
+  std::size_t heldBytes_ = 0;            // of requests that are not whole yet
+  std::array<char, 16 * 1024> scratch_;  // each read is taken out of it before the next
 };
 
 }  // namespace quilltide::net
--- a/stand-ins/process.cpp
+++ b/stand-ins/process.cpp
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -26,10 +27,20 @@
 
 namespace {
 
-tcp::endpoint freePort() {  // nobody else listens there now
+// Nobody else listens there, also not between now and the forwarder's start: below the range from which the
+// system takes ports (32768 on), on an address that is this process's own, and each port once a round.
+tcp::endpoint freePort() {
+  static std::atomic<unsigned> next{0};
   asio::io_context io;
-  tcp::acceptor probe(io, {ownLoopback(), 0});
-  return probe.local_endpoint();
+  for (int tries = 0; tries < 1'000; ++tries) {
+    const tcp::endpoint at(ownLoopback(), static_cast<unsigned short>(10'000 + next++ % 20'000));
+    tcp::acceptor probe(io);
+    boost::system::error_code taken;
+    probe.open(at.protocol());
+    probe.bind(at, taken);
+    if (!taken) return at;
+  }
+  throw std::runtime_error("no port is free");
 }
 
 std::string textOf(const tcp::endpoint& e) {
--- a/tests/http_door_test.cpp
+++ b/tests/http_door_test.cpp
@@ -503,6 +503,23 @@
   }
 }
 
+// A pipeline without a message is answered whole and in order too, but has to wait for turns.
+TEST_F(HttpBed, AnswersAFloodOfQuestionsInTurns) {
+  startBoth();
+  std::string all;
+  for (int i = 0; i < 60; ++i)
+    all += HttpTalk::request("GET", i % 3 == 0 ? "/v1/ends?after=nowhere" : "/v1/messages/n", "");
+  const auto begun = std::chrono::steady_clock::now();
+  http->write(all);
+  for (int i = 0; i < 60; ++i) {
+    const HttpAnswer a = http->answer();
+    ASSERT_EQ(a.status, i % 3 == 0 ? 400 : 404) << i << a.body;
+  }
+  EXPECT_GE(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(20));
+  http->write(HttpTalk::request("POST", "/v1/messages?id=p&class=safe&destination=7&time_left_ms=5000", "x"));
+  EXPECT_EQ(http->answer().status, 202);
+}
+
 TEST_F(HttpBed, GoesOnAfter100Continue) {
   startBoth();
   http->write(
