--- a/src/doors/connections/pace.hpp
+++ b/src/doors/connections/pace.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 
