--- /dev/null
+++ b/src/doors/connections/lingering.hpp
@@ -0,0 +1,40 @@
+// The end of a connection whose client may not have read its last answer yet.
+#pragma once
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+
+namespace quilltide::net {
+
+// Closing on bytes unread would send a reset, which may destroy the answer on its way (RFC 9112,
+// section 9.6). So sending ends first, what still comes is read away, and the connection is closed when the
+// client closes or kLinger is over.
+class Lingering {
+ public:
+  using tcp = boost::asio::ip::tcp;
+  static constexpr auto kLinger = std::chrono::milliseconds(500);
+  static constexpr std::size_t kMost = 256 * 1024;  // bytes; past it nothing is read any more
+  enum class Next { readOn, waitOut, close };
+
+  void begin(tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  // One piece of what has come; the socket does not block.
+  Next readAway(tcp::socket& socket) {
+    std::array<char, 4096> scratch;
+    boost::system::error_code error;
+    read_ += socket.read_some(boost::asio::buffer(scratch), error);
+    if (error && error != boost::asio::error::would_block) return Next::close;
+    return read_ < kMost ? Next::readOn : Next::waitOut;
+  }
+
+ private:
+  std::size_t read_ = 0;
+};
+
+}  // namespace quilltide::net
--- a/src/doors/http/door.cpp
+++ b/src/doors/http/door.cpp
@@ -2,7 +2,6 @@
 #include "doors/http/door.hpp"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,6 +10,7 @@
 #include <chrono>
 #include <cstdio>
 
+#include "doors/connections/lingering.hpp"
 #include "doors/http/api.hpp"
 
 namespace quilltide::net {
@@ -29,9 +29,6 @@
 constexpr std::size_t kMostInEvents = 32 * 1024;  // of a stream, in one write
 constexpr auto kStalled = milliseconds(10'000);   // an answer that is not read
 constexpr auto kHeartbeat = milliseconds(5'000);  // of a stream on which nothing happens
-constexpr auto kLinger =
-    milliseconds(500);  // closing on bytes unread would send a reset that may destroy the answer
-constexpr std::size_t kMostDiscarded = 256 * 1024;
 // Requests of one connection, each sent before the last one's answer and none with a message: who sends more
 // of them waits for a turn with the others that do.
 constexpr std::size_t kAtOnce = 16;
@@ -169,7 +166,8 @@
     parser_->header_limit(kLongestHead);
     parser_->body_limit(std::max(home_->settings_.batchBytes, kLongestBody) + 1);
     error_code unknown;
-    if (buffer_.size() > 0 || (proven_ && socket_.available(unknown) > 0 && !unknown)) return nextInLine();
+    if (buffer_.size() > 0 || (fruitless_ > 0 && socket_.available(unknown) > 0 && !unknown))
+      return nextInLine();
     fruitless_ = 0;
     if (home_->draining_ && proven_) return close();
     // A client that never asked anything gets no longer than one request may take.
@@ -551,21 +549,16 @@
     leaveWait();
     state_ = State::lingering;
     hold(0);
-    error_code ignored;
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    within(kLinger, [this] { close(); });
+    last_.begin(socket_);
+    within(Lingering::kLinger, [this] { close(); });
     discard();
   }
-  // Past the bound nothing is read any more, and the connection stands until its time is up.
   void discard() {
     socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code error) {
       if (closed_) return;
-      if (error) return close();
-      std::array<char, 4096> scratch;
-      const std::size_t n = socket_.read_some(asio::buffer(scratch), error);
-      if (error && error != asio::error::would_block) return close();
-      discarded_ += n;
-      if (discarded_ < kMostDiscarded) discard();
+      const auto next = error ? Lingering::Next::close : last_.readAway(socket_);
+      if (next == Lingering::Next::close) return close();
+      if (next == Lingering::Next::readOn) discard();
     });
   }
 
@@ -584,7 +577,8 @@
   std::uint64_t position_ = 0;  // of a stream: the last one written
   std::size_t claimed_ = 0;     // by Content-Length
   std::size_t fruitless_ = 0;   // pipelined requests since the last one with a message
-  std::size_t held_ = 0, discarded_ = 0;
+  std::size_t held_ = 0;
+  Lingering last_;
   bool keepAlive_ = true;
   bool proven_ = false;  // has sent a whole request
   bool turned_ = false, waits_ = false, writing_ = false, closed_ = false;
--- a/src/doors/resp/door.cpp
+++ b/src/doors/resp/door.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "doors/connections/lingering.hpp"
 #include "doors/resp/request_reader.hpp"
 
 namespace quilltide::net {
@@ -32,10 +33,6 @@
 constexpr auto kSilence = milliseconds(2'200);
 constexpr auto kRest = milliseconds(2'000);
 constexpr auto kStalled = milliseconds(10'000);  // answers that are not read
-// After the last answer, until the client has read it: closing on bytes unread would send a reset that may
-// destroy it.
-constexpr auto kLinger = milliseconds(500);
-constexpr std::size_t kMostDiscarded = 256 * 1024;
 
 struct BadRequest : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -98,7 +95,7 @@
   void check(Clock::time_point now) {
     const auto rest = now - lastUse_;
     if (lingering_) {
-      if (rest >= kLinger) close();
+      if (rest >= Lingering::kLinger) close();
     } else if (waiting()) {
       if (writing_ && rest >= kStalled) close();
     } else if (reader_.unread() > 0 && !more_) {
@@ -276,18 +273,14 @@
     if (ended_) return close();
     lingering_ = true;
     lastUse_ = Clock::now();
-    error_code ignored;
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    last_.begin(socket_);
     read();
   }
 
-  // Past the bound nothing is read any more, and the connection stands until its time is up.
   void discard() {
-    error_code error;
-    const std::size_t n = socket_.read_some(asio::buffer(home_->scratch_), error);
-    if (error && error != asio::error::would_block) return close();
-    discarded_ += n;
-    if (discarded_ < kMostDiscarded) read();
+    const auto next = last_.readAway(socket_);
+    if (next == Lingering::Next::close) return close();
+    if (next == Lingering::Next::readOn) read();
   }
 
   RespDoor* home_;
@@ -296,7 +289,8 @@
   RequestReader reader_;
   std::deque<std::optional<std::string>> answers_;  // in the order of the requests
   std::size_t first_ = 0;
-  std::size_t held_ = 0, discarded_ = 0;
+  std::size_t held_ = 0;
+  Lingering last_;
   int errors_ = 0;                            // since the last message that was handed in
   Clock::time_point lastUse_ = Clock::now();  // or, with part of a request, since when
   std::string out_, sending_;
