Serve pushed lists and load reports: a watch on the agent, X-Load read, full queues

Cause, by the logs and by reading: only directoryOnRequest made the module ask for a watch, so where lists are pushed none was ever opened (engine.cpp, logic.cpp round()). The carrier never read X-Load (targets.cpp tell()), though the simulator hands reports to the module.

The engine now holds the watch open itself; a lost one is tried again after 10 to 50 ms, since what the agent holds binds within 250 ms.

--- a/src/carriers/http/answer.cpp
+++ b/src/carriers/http/answer.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <map>
 #include <sstream>
 
@@ -11,6 +12,7 @@
 
 constexpr std::size_t kAnswerBytes = 64 * 1024;
 constexpr std::uint32_t kHeadBytes = 8 * 1024;
+constexpr std::size_t kMostFigures = 16;  // of a report; settings name four at most
 
 }  // namespace
 
@@ -37,6 +39,25 @@
   return bad != std::errc() ? 0 : std::min(ms, most / 1000) * 1000;
 }
 
+Report Answer::report() const {
+  if (parser_->get().count("X-Load") != 1) return {};
+  Report report;
+  const auto text = parser_->get()["X-Load"];
+  for (std::size_t from = 0; from <= text.size();) {
+    const std::size_t end = std::min(text.find(',', from), text.size());
+    const auto pair = text.substr(from, end - from);
+    const std::size_t equals = pair.find('=');
+    if (equals == 0 || equals == pair.npos || report.size() == kMostFigures) return {};
+    const char* last = pair.data() + pair.size();
+    double value = 0;
+    const auto [stop, bad] = std::from_chars(pair.data() + equals + 1, last, value);
+    if (bad != std::errc() || stop != last || !std::isfinite(value) || value < 0) return {};
+    if (!report.emplace(std::string(pair.substr(0, equals)), value).second) return {};
+    from = end + 1;
+  }
+  return report;
+}
+
 // Nothing where each message has a line of its own.
 std::optional<Verdict> Answer::verdictOfAll() const {
   const auto& answer = parser_->get();
--- a/src/carriers/http/answer.hpp
+++ b/src/carriers/http/answer.hpp
@@ -32,6 +32,9 @@
   bool says200() const;
   // The wait that it tells, `most` at most: what a socket says may be of any size.
   Micros wait(Micros most) const;
+  // The load report that it carries (PROTOCOL: `X-Load: x0=0.4,x1=25`); empty where there is none, and where
+  // any part of it cannot be read: half a report is no report. Figures are finite and not negative.
+  Report report() const;
   // The verdict on each of the messages, in their order, of an answer that was read to its end.
   std::vector<Verdict> verdicts(const std::vector<std::string>& ids) const;
 
--- a/src/carriers/http/targets.cpp
+++ b/src/carriers/http/targets.cpp
@@ -261,6 +261,7 @@
     o.settled = verdict.settled;
     o.noSlot = verdict.noSlot;
     o.spoilt = verdict.spoilt;
+    o.report = report_;
     home_.outcome_(o);
   }
 
@@ -277,6 +278,7 @@
   void answered() {
     std::vector<std::string> ids;
     for (const Parcel& p : parcels_) ids.push_back(p.id);
+    if (home_.settings_.reports == ReportSource::answers) report_ = answer_.report();
     finish(answer_.verdicts(ids), answer_.wait(home_.longestWait_),
            answer_.parser().keep_alive() && line_->buffer.size() == 0);
   }
@@ -303,6 +305,7 @@
   std::shared_ptr<Line> line_;
   http::request<http::string_body> request_;
   Answer answer_;
+  Report report_;  // of an answer that was read to its end
   int interim_ = 0;
   bool written_ = false, over_ = false;
 };
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -114,6 +114,8 @@
     wire::Line line;
     flatten(settings, "", line);
     c.settings = wire::parseSettings(line);
+    // PROTOCOL: each connection carries a single call at a time, whatever the simulator's settings say.
+    c.settings.streamsPerConnection = 1;
     if (c.settings.classes.empty()) throw std::runtime_error("settings name no class");
     if (c.settings.period <= 0) throw std::runtime_error("settings.periodUs is not above 0");
     c.names.classes = namesIn(settings.at("classes"));
--- a/src/directory/discovery.cpp
+++ b/src/directory/discovery.cpp
@@ -15,6 +15,10 @@
 
 constexpr auto kSilence = milliseconds(5'000);  // an empty line comes every 2 s while nothing changes
 constexpr auto kPostWait = milliseconds(1'000);
+// From one try at the watch to the next. A service for everybody must not be asked by all at once after an
+// outage; an agent on this machine costs nothing, and what it holds binds within a drain's grace.
+constexpr int kServiceRetryMs = 100, kServiceRetryMostMs = 1'600;
+constexpr int kAgentRetryMs = 20, kAgentRetryMostMs = 50;
 constexpr std::size_t kMostInPost = 150;  // lines; far under the 64 KiB that a body may hold
 constexpr std::size_t kLongestLine = 4 << 20;
 
@@ -53,6 +57,8 @@
       noticed_(std::move(noticed)),
       rev_(config.known.rev),
       random_(config.seed),
+      retryMs_(config.settings.directoryOnRequest ? kServiceRetryMs : kAgentRetryMs),
+      retryMostMs_(config.settings.directoryOnRequest ? kServiceRetryMostMs : kAgentRetryMostMs),
       delay_(io),
       retry_(io) {}
 
@@ -70,9 +76,9 @@
   delayed_ = false;
   stopWatching();
   if (!enable) return;
-  // Discovery serves everybody in turn: after an outage they must not all come back at once.
   const double spread = 0.5 + 0.5 * std::uniform_real_distribution<double>()(random_);
-  const auto wait = std::chrono::duration_cast<milliseconds>(spread * backoff(failures_, 100, 1'600));
+  const auto wait =
+      std::chrono::duration_cast<milliseconds>(spread * backoff(failures_, retryMs_, retryMostMs_));
   delayed_ = true;
   delay_.expires_after(wait);
   delay_.async_wait([this](error_code error) {
--- a/src/directory/discovery.hpp
+++ b/src/directory/discovery.hpp
@@ -52,10 +52,11 @@
   OnDirectory directory_;
   OnNoticed noticed_;
   std::int64_t rev_;
-  bool wanted_ = false;  // the module's last word on the watch
+  bool wanted_ = false;  // the last word on the watch, the module's or where lists are pushed the engine's
   bool delayed_ = false;
   int failures_ = 0;
   std::mt19937_64 random_;
+  int retryMs_, retryMostMs_;  // the first wait before the watch is tried again, and the longest
   std::shared_ptr<Watch> watch_;
   boost::asio::steady_timer delay_;
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -59,6 +59,7 @@
   events_.push_back(std::move(known_.view));
   known_ = {};
   recover();
+  if (!settings_.directoryOnRequest) directory_->watch(true);
   round();
 }
 
@@ -181,6 +182,8 @@
 }
 
 void Engine::directory(std::optional<Directory> directory) {
+  // Where lists are pushed the module never asks for them: the watch is only how they travel.
+  if (!directory && !settings_.directoryOnRequest) return directory_->watch(true);
   if (!directory) {
     events_.push_back(DirectoryView{ViewScope::refused, {}});
   } else {
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -49,7 +49,7 @@
   void outcome(const Outcome& outcome);
   void late(MessageId handle);
 
-  // From the directory. Nothing: a watch failed or ended.
+  // From the directory. Nothing: a watch failed or ended; where lists are pushed it is opened again.
   void directory(std::optional<Directory> directory);
   void noticed(const std::vector<std::string>& ids);
 
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -21,17 +21,20 @@
 constexpr double kOpenAims = 0.4;    // first open time: several trials fit inside an aim's worth of lateness
 constexpr double kOpenGrowth = 1.5;  // open time grows while trials fail: long outages cost few calls
 constexpr double kFleetTrials = 4;   // so many trials an aim from the whole fleet harm nobody
+constexpr double kProvenGap = 0.5;   // of the time between trials, where a failed one costs no call
 constexpr double kJitter = 0.2;      // spread of open times, so that senders' trials do not fall together
 constexpr double kOverdue = 6;       // calls older than this many usual durations are judged before they end
-constexpr double kTimeoutUsual = 12;  // a time-out lies well past overdue: it throws work away
-constexpr double kTimeoutAims = 2;    // and past this many aims, for late is still worth something
-constexpr double kLearn = 0.1;        // weight of a new duration in the usual one
-constexpr double kLearnClip = 3;      // a single long call counts as this many usual ones at most
-constexpr double kSlowLearn = 0.3;    // weight of a new duration in the present slowness
-constexpr double kRampShare = 0.7;    // of the multiple in the rules: a returning lane gets what it can do
-constexpr double kLeastRate = 1;      // calls a second that even a small destination takes, from all senders
+constexpr double kLeastOverdueAims = 0.1;  // but none before so many aims: below that a busy machine speaks
+constexpr double kTimeoutUsual = 12;       // a time-out lies well past overdue: it throws work away
+constexpr double kTimeoutAims = 2;         // and past this many aims, for late is still worth something
+constexpr double kLearn = 0.1;             // weight of a new duration in the usual one
+constexpr double kLearnClip = 3;           // a single long call counts as this many usual ones at most
+constexpr double kSlowLearn = 0.3;         // weight of a new duration in the present slowness
+constexpr double kRampShare = 0.9;   // of the multiple in the rules: a returning lane gets what it can do
+constexpr double kLeastRate = 1;     // calls a second that even a small destination takes, from all senders
 constexpr double kAskedWarmUps = 4;  // messages count for a destination's usual traffic over so many warm-ups
 constexpr double kPaceCut = 0.85;    // pace after a refusal, of what was taken lately
+constexpr double kFullCut = 0.75;    // tickets after a full queue where there is no limit
 constexpr double kPaceGrowth = 0.1;  // growth of the pace in a second without refusals
 constexpr double kPaceBurstAims = 0.2;  // unused pace that is kept, in shortest aims
 constexpr double kRefusedHold = 0.1;    // cuts of the pace lie so many shortest aims apart
@@ -437,7 +440,8 @@
   void postpone(Lane& lane) {
     lane.openFor = std::min<Micros>(static_cast<Micros>(lane.openFor * kOpenGrowth),
                                     static_cast<Micros>(trialGap(lane)));
-    const double spread = lane.openFor * (1 + kJitter * (2 * random_.uniform() - 1));
+    const double proven = lane.outage && lane.provenOnly ? kProvenGap : 1;
+    const double spread = proven * lane.openFor * (1 + kJitter * (2 * random_.uniform() - 1));
     lane.nextTrial = std::max(now_ + static_cast<Micros>(spread), lane.waitUntil);
   }
 
@@ -543,7 +547,9 @@
 
   // Busy is no illness while other calls are taken: pace down and heed the wait. Refusals alone for longer
   // than a limit would take to have room again, or a long wait, mean shut.
-  void refused(Lane& lane, const TargetId& target, Micros wait) {
+  // A destination that says it has no limit refuses what its queue has no room for just now: that is for the
+  // bulkhead, and only the endpoint whose queue was full rests.
+  void refused(Lane& lane, Lane& place, const TargetId& target, Micros wait) {
     if (lane.refusals++ == 0) lane.refusedFrom = now_;
     const bool longOnly = now_ - lane.refusedFrom > static_cast<Micros>(aim_);
     if (lane.state != State::closed || (longOnly && lane.refusals > kErrorCount) || wait > aim_) {
@@ -554,15 +560,21 @@
     }
     if (now_ - lane.lastCut > static_cast<Micros>(kRefusedHold * aim_)) {
       lane.lastCut = now_;
-      double now = lane.pace > 0 ? std::min(rate(lane), lane.pace) : rate(lane);
-      now = std::max(now, kErrorShare * lane.rating / s_.fleetSize);
-      lane.pace = std::max(kPaceCut * now, std::min(1.0, kFleetTrials / s_.fleetSize) * kSecond / aim_);
-      lane.paced = Bucket{1, now_};  // the hold or the wait is over before it is used
+      if (lane.unlimited) {
+        lane.tickets = std::max(kFirstTickets, std::floor(ticketsOf(lane) * kFullCut));
+        lane.pace = 0;
+      } else {
+        double now = lane.pace > 0 ? std::min(rate(lane), lane.pace) : rate(lane);
+        now = std::max(now, kErrorShare * lane.rating / s_.fleetSize);
+        lane.pace = std::max(kPaceCut * now, std::min(1.0, kFleetTrials / s_.fleetSize) * kSecond / aim_);
+        lane.paced = Bucket{1, now_};  // the hold or the wait is over before it is used
+      }
     }
     // At the end of a told wait all that were told come at once: in a large fleet each stays away longer.
     const double pause = std::min(firstPause_ * std::exp2(std::min(lane.refusals - 1, 16)), trialGap(lane));
     if (wait == 0 || s_.fleetSize > kFleetTrials)
-      lane.pauseUntil = now_ + wait + static_cast<Micros>(pause * (0.5 + random_.uniform()));
+      (lane.unlimited ? place : lane).pauseUntil =
+          now_ + wait + static_cast<Micros>(pause * (0.5 + random_.uniform()));
   }
 
   // Some networks break single connections, at destinations that are well: a reset between close answers
@@ -590,7 +602,7 @@
         lane->answeredSince = std::max(lane->answeredSince, f.sent);
         succeed(*lane, f.target, o.duration, f.trial);
       } else if (o.ending == Ending::busy) {
-        if (lane == &mainLane(ep)) refused(*lane, f.target, o.wait);
+        if (lane == &mainLane(ep)) refused(*lane, ep.lane, f.target, o.wait);
       } else if (lane->state == State::closed && (o.spoilt || brokeAlone(*lane, o))) {
         // It answers: a counted error, but no trouble of its own and no step to an outage.
         if (o.spoilt) lane->answeredSince = std::max(lane->answeredSince, f.sent);
@@ -654,7 +666,10 @@
 
   void takeReport(Endpoint& ep, const Report& report) {
     const auto limit = report.find("x1");
-    if (limit != report.end() && limit->second > 0) mainLane(ep).rating = limit->second;
+    if (limit == report.end()) return;
+    Lane& lane = mainLane(ep);
+    lane.unlimited = limit->second <= 0;
+    if (!lane.unlimited) lane.rating = limit->second;
   }
 
   void release(const Flight& f) {
@@ -929,8 +944,8 @@
     f.trial = trial;
     // Where no call was answered yet others say little: destinations differ much in pace.
     const double usual = ep.lane.usual > 0 ? ep.lane.usual : main.usual;
-    f.overdueAt = now_ + static_cast<Micros>(
-                             std::max(kOverdue * (usual > 0 ? usual : usualCall_), usual > 0 ? 0 : aim_));
+    f.overdueAt = now_ + static_cast<Micros>(std::max(kOverdue * (usual > 0 ? usual : usualCall_),
+                                                      (usual > 0 ? kLeastOverdueAims : 1) * aim_));
     f.patience = patience(main, aim_);
     flight_ = ++nextFlight_;
     Flight& flight = flights_[flight_] = f;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -73,7 +73,8 @@
   Micros waitUntil = 0, pauseUntil = 0;
   int refusals = 0;  // in a row
   Micros refusedFrom = 0, lastCut = -kNever;
-  double pace = 0;  // calls a second; 0: none
+  bool unlimited = false;  // a report said that only its capacity limits it
+  double pace = 0;         // calls a second; 0: none
   Bucket paced;
   Fading taken;           // calls answered
   Fading answered, lost;  // in the breaker's window: calls answered, and those that later ones overtook
