Trials of refused connections stay within what the ramp would send

Need: halving the time between trials would double them in a large fleet too, and these together must not be what pushes a returning destination over.

The shorter time is now the lower bound of trialGap alone, under which the bound by the ramp's share stays.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -21,7 +21,7 @@
 constexpr double kOpenAims = 0.4;    // first open time: several trials fit inside an aim's worth of lateness
 constexpr double kOpenGrowth = 1.5;  // open time grows while trials fail: long outages cost few calls
 constexpr double kFleetTrials = 4;   // so many trials an aim from the whole fleet harm nobody
-constexpr double kProvenGap = 0.5;   // of the time between trials, where a failed one costs no call
+constexpr double kProvenGap = 0.5;   // trials at least so many aims apart where a failed one costs no call
 constexpr double kJitter = 0.2;      // spread of open times, so that senders' trials do not fall together
 constexpr double kOverdue = 6;       // calls older than this many usual durations are judged before they end
 constexpr double kLeastOverdueAims = 0.1;  // but none before so many aims: below that a busy machine speaks
@@ -388,11 +388,13 @@
   }
   bool seldom(const Lane& lane) const { return shareOf(lane) * window_ < kErrorStreak * kSecond; }
   // Trials of all senders together stay within what a destination can do when it is just back; at one called
-  // seldom few try at a time. A false alarm there lasts long.
+  // seldom few try at a time. A false alarm there lasts long. Where every failure was a refused connection a
+  // failed trial costs nobody a call, and they come more often as far as that bound lets them.
   double trialGap(const Lane& lane) const {
     const double asks = std::max(shareOf(lane), kSecond / window_);
     const double within = kSecond / (kRampShare * s_.tipMultiple * s_.startCapacity * asks);
-    return std::max(aim_, std::min(within, aim_ * s_.fleetSize / kFleetTrials));
+    const double least = lane.outage && lane.provenOnly ? kProvenGap * aim_ : aim_;
+    return std::max(least, std::min(within, aim_ * s_.fleetSize / kFleetTrials));
   }
 
   // May a call leave for this lane now? Breaker, wait, pace, ramp and tickets each can say no.
@@ -440,8 +442,7 @@
   void postpone(Lane& lane) {
     lane.openFor = std::min<Micros>(static_cast<Micros>(lane.openFor * kOpenGrowth),
                                     static_cast<Micros>(trialGap(lane)));
-    const double proven = lane.outage && lane.provenOnly ? kProvenGap : 1;
-    const double spread = proven * lane.openFor * (1 + kJitter * (2 * random_.uniform() - 1));
+    const double spread = lane.openFor * (1 + kJitter * (2 * random_.uniform() - 1));
     lane.nextTrial = std::max(now_ + static_cast<Micros>(spread), lane.waitUntil);
   }
 
