--- /dev/null
+++ b/tests/connections_test.cpp
@@ -0,0 +1,184 @@
+// What every door has: who makes room, turns for floods, the accept loop, and an end that destroys no answer.
+#include "doors/connections/clients.hpp"
+#include "doors/connections/lingering.hpp"
+#include "doors/connections/listener.hpp"
+#include "doors/connections/pace.hpp"
+#include "net_bed.hpp"
+
+namespace quilltide::net::testbed {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Guest {
+  explicit Guest(Spare s) : kind(s) {}
+  Spare spare(std::chrono::steady_clock::time_point) const { return kind; }
+  void close() { closed = true; }
+  Spare kind;
+  bool closed = false;
+};
+
+// The place that makeRoom gives away among clients of these kinds, the longest unused first; -1: none.
+int givenAway(const std::vector<Spare>& kinds) {
+  Clients<Guest> clients;
+  for (const Spare kind : kinds) clients.push_back(std::make_shared<Guest>(kind));
+  const bool found = makeRoom(clients);
+  int at = 0, chosen = -1, closed = 0;
+  for (const auto& client : clients) {
+    if (client->closed) {
+      chosen = at;
+      ++closed;
+    }
+    ++at;
+  }
+  EXPECT_EQ(closed, found ? 1 : 0);
+  return chosen;
+}
+
+TEST(MakeRoom, TakesTheLongestUnusedOfThoseItCanSpareAtOnceThenOfTheOthers) {
+  constexpr Spare no = Spare::no, now = Spare::now, need = Spare::ifNeeded;
+  EXPECT_EQ(givenAway({}), -1);
+  EXPECT_EQ(givenAway({no, no}), -1);
+  EXPECT_EQ(givenAway({no, need, need}), 1);
+  EXPECT_EQ(givenAway({need, no, now, now}), 2);
+  EXPECT_EQ(givenAway({now, need, now}), 0);
+}
+
+// Two turns a millisecond whatever waits, in the order of coming; who is gone costs the next in line nothing.
+TEST(PaceOfFloods, GivesTurnsInOrderAndSkipsThoseThatAreGone) {
+  asio::io_context io(1);
+  Pace pace(io, 2);
+  std::vector<int> went;
+  constexpr int kAll = 60;
+  for (int i = 0; i < kAll; ++i) {
+    pace.wait([&went, i] {
+      if (i % 3 == 0) return false;
+      went.push_back(i);
+      return true;
+    });
+  }
+  const auto started = std::chrono::steady_clock::now();
+  io.run();
+  EXPECT_EQ(went.size(), 40U);
+  EXPECT_TRUE(std::is_sorted(went.begin(), went.end()));
+  EXPECT_GE(std::chrono::steady_clock::now() - started, milliseconds(20));  // 40 turns, two each
+}
+
+// Who waits again from inside its turn goes to the end of the queue and never has two in one.
+TEST(PaceOfFloods, LetsAClientQueueAgainInsideItsTurn) {
+  asio::io_context io(1);
+  Pace pace(io, 2);
+  std::vector<char> went;
+  std::function<bool(char, int)> turn = [&](char who, int left) {
+    went.push_back(who);
+    if (left > 0) pace.wait([&turn, who, left] { return turn(who, left - 1); });
+    return true;
+  };
+  for (const char who : {'a', 'b', 'c'}) pace.wait([&turn, who] { return turn(who, 2); });
+  io.run();
+  EXPECT_EQ(std::string(went.begin(), went.end()), "abcabcabc");
+}
+
+class ListenerBed : public ::testing::Test {
+ protected:
+  ListenerBed()
+      : listener(*loops.own, "test",
+                 {[this] { return room; }, [this](tcp::socket s) { sockets.push_back(std::move(s)); },
+                  [this] { ++outOf; }}) {
+    listener.listen({asio::ip::make_address("127.0.0.1"), 0});
+  }
+  tcp::socket connect() {
+    tcp::socket socket(loops.fakes);
+    socket.connect(listener.address());
+    return socket;
+  }
+  Loops loops;
+  bool room = true;
+  std::vector<tcp::socket> sockets;
+  int outOf = 0;
+  Listener listener;
+};
+
+TEST_F(ListenerBed, TakesConnectionsOneAfterAnotherWithoutDelayOrBlocking) {
+  const tcp::socket one = connect(), two = connect();
+  ASSERT_TRUE(loops.until([&] { return sockets.size() == 2; }));
+  for (tcp::socket& socket : sockets) {
+    tcp::no_delay delay;
+    socket.get_option(delay);
+    EXPECT_TRUE(delay.value());
+    EXPECT_TRUE(socket.non_blocking());
+  }
+}
+
+// Without room nobody is taken, nobody is turned away, and once there is room the loop goes on by itself.
+TEST_F(ListenerBed, AsksAgainUntilThereIsRoom) {
+  const tcp::socket first = connect();  // the accept that was under way before
+  ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
+  room = false;
+  const tcp::socket second = connect();
+  ASSERT_TRUE(loops.until([&] { return sockets.size() == 2; }));
+  const tcp::socket third = connect();
+  EXPECT_FALSE(loops.until([&] { return sockets.size() == 3; }, milliseconds(100)));
+  room = true;
+  EXPECT_TRUE(loops.until([&] { return sockets.size() == 3; }));
+}
+
+TEST_F(ListenerBed, TakesNobodyOnceClosed) {
+  const tcp::endpoint at = listener.address();
+  listener.close();
+  loops.until([] { return false; }, milliseconds(30));
+  tcp::socket socket(loops.fakes);
+  error_code refused;
+  socket.connect(at, refused);
+  EXPECT_TRUE(refused);
+  EXPECT_TRUE(sockets.empty());
+}
+
+// A last answer survives bytes that nobody read: a plain close would send a reset over it.
+TEST_F(ListenerBed, ALingeringEndLeavesTheAnswerReadable) {
+  tcp::socket client = connect();
+  ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
+  tcp::socket& served = sockets.front();
+  asio::write(client, asio::buffer(std::string(100'000, 'x')));
+  ASSERT_TRUE(loops.until([&] { return served.available() > 0; }));
+  asio::write(served, asio::buffer(std::string("-ERR bye\r\n")));
+  Lingering last;
+  last.begin(served);
+  std::string told;
+  error_code error;
+  client.non_blocking(true);
+  ASSERT_TRUE(loops.until([&] {
+    last.readAway(served);
+    std::array<char, 64> piece;
+    told.append(piece.data(), client.read_some(asio::buffer(piece), error));
+    return error && error != asio::error::would_block;
+  }));
+  EXPECT_EQ(told, "-ERR bye\r\n");
+  EXPECT_EQ(error, asio::error::eof);
+  client.close();
+  Lingering::Next next = Lingering::Next::readOn;
+  EXPECT_TRUE(loops.until([&] { return (next = last.readAway(served)) == Lingering::Next::close; }));
+}
+
+// Who goes on sending for good is read away up to a bound, and then only waited out.
+TEST_F(ListenerBed, ALingeringEndReadsABoundedAmountAway) {
+  tcp::socket client = connect();
+  ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
+  client.non_blocking(true);
+  Lingering last;
+  last.begin(sockets.front());
+  const std::string piece(16'000, 'x');
+  std::size_t sent = 0;
+  Lingering::Next next = Lingering::Next::readOn;
+  ASSERT_TRUE(loops.until([&] {
+    error_code full;
+    sent += client.write_some(asio::buffer(piece), full);
+    next = last.readAway(sockets.front());
+    return next != Lingering::Next::readOn;
+  }));
+  EXPECT_EQ(next, Lingering::Next::waitOut);
+  EXPECT_GE(sent, Lingering::kMost);
+}
+
+}  // namespace
+}  // namespace quilltide::net::testbed
--- a/tests/fuzz/answer.cpp
+++ b/tests/fuzz/answer.cpp
@@ -1,6 +1,7 @@
 // Answers of targets: whatever comes, each message gets one verdict, and only a line that says so settles it.
 #include "carriers/http/answer.hpp"
 
+#include <cmath>
 #include <cstdlib>
 
 using namespace quilltide;
@@ -22,6 +23,11 @@
   if (!answer.parser().is_done()) return 0;
   const Micros wait = answer.wait(5'000'000);
   if (wait < 0 || wait > 5'000'000) std::abort();
+  const Report report = answer.report();
+  if (report.size() > 16) std::abort();
+  for (const auto& [name, value] : report) {
+    if (name.empty() || !std::isfinite(value) || value < 0) std::abort();
+  }
   for (const std::vector<std::string>& ids : {std::vector<std::string>{"a"}, {"a", "b", "c"}}) {
     const auto verdicts = answer.verdicts(ids);
     if (verdicts.size() != ids.size()) std::abort();
