--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -129,8 +129,7 @@
     for (auto& [target, ep] : d.endpoints)
       ep->lane.asked.add(now_, askedFor(), 1.0 / static_cast<double>(d.endpoints.size()));
     if (a.recovered) m.resume(*a.recovered, now_, zoneOf(a.recovered->riskTarget));
-    hold(m);
-    messages_[m.id] = m;
+    hold(messages_[m.id] = m);
   }
 
   void on(const Outcome& o) {
@@ -287,8 +286,8 @@
     forget(m);
   }
 
-  void hold(const Message& m) {
-    destinations_[m.destination].held[m.order] = m.id;
+  void hold(Message& m) {
+    destinations_[m.destination].held[m.order] = &m;
     holding_.insert(m.destination);
     destinations_[m.destination].lookAt = 0;
   }
@@ -879,23 +878,19 @@
 
   void dispatch() {
     if (slotsTaken_ >= s_.slots) return;
-    std::vector<std::tuple<double, std::uint64_t, MessageId>> waiting;  // the most urgent first
+    std::vector<std::tuple<double, std::uint64_t, Message*>> waiting;  // the most urgent first
     for (auto at = holding_.begin(); at != holding_.end();) {
       Destination& d = destinations_[*at];
       at = d.held.empty() ? holding_.erase(at) : std::next(at);
       if (now_ < d.lookAt) continue;
-      for (const auto& [order, id] : d.held) {
-        const Message& m = messages_.at(id);
-        const double usual = std::max(1.0, usualOf(d.lane));
-        waiting.emplace_back(-urgency(m, usual) / usual, order, id);
-      }
+      const double usual = std::max(1.0, usualOf(d.lane));
+      for (const auto& [order, m] : d.held) waiting.emplace_back(-urgency(*m, usual) / usual, order, m);
     }
     std::sort(waiting.begin(), waiting.end());
-    std::map<std::int64_t, std::vector<MessageId>> lines;  // by urgency
-    for (const auto& [cost, order, id] : waiting) lines[messages_.at(id).destination].push_back(id);
-    for (const auto& [cost, order, id] : waiting) {
+    std::map<std::int64_t, std::vector<Message*>> lines;  // by urgency, once a call may carry several
+    for (const auto& [cost, order, place] : waiting) {
       if (slotsTaken_ >= s_.slots) break;
-      Message& m = messages_.at(id);
+      Message& m = *place;
       if (m.out > 0) continue;
       Destination& d = destinations_[m.destination];
       bool trial = false, stopped = false;
@@ -908,11 +903,13 @@
       launch(*ep, d, m, trial);
       if (const int most = batchFor(*ep); most > 1 && !trial) {
         int room = most - 1;
-        for (const MessageId other : lines[m.destination]) {
+        if (lines.empty()) {
+          for (const auto& [unused, since, other] : waiting) lines[other->destination].push_back(other);
+        }
+        for (Message* more : lines[m.destination]) {
           if (room == 0) break;
-          Message& more = messages_.at(other);
-          if (more.out > 0 || !mayGoTo(more, *ep)) continue;
-          join(*ep, more);
+          if (more->out > 0 || !mayGoTo(*more, *ep)) continue;
+          join(*ep, *more);
           --room;
         }
       }
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -88,6 +88,7 @@
 };
 
 struct Destination;
+struct Message;
 struct Endpoint {
   TargetEntry entry;
   Destination* home = nullptr;
@@ -110,8 +111,8 @@
   Lane lane;  // unused where routes are apart
   std::map<TargetId, Endpoint*> endpoints;
   int inFlight = 0;
-  Micros lookAt = 0;                        // what waits is not looked at before
-  std::map<std::uint64_t, MessageId> held;  // in order of arrival
+  Micros lookAt = 0;                       // what waits is not looked at before
+  std::map<std::uint64_t, Message*> held;  // in order of arrival; the sender's map keeps their places
 };
 
 struct Message {
