Idle connections of a large fleet no longer fill a small destination's table

So the table of about 12 connections is full of idle ones, and no limit of calls is met. Ruled out: a rate limit (those who keep a connection are never refused), the queue (answers take 14 ms).

Lines at fault: keepFor() in src/policy/logic.cpp keeps each connection for the whole 15 s until a connect has failed; those who sit in the table never see one fail, and 503 on a new connection taught nothing.

Change: a fleet of N (N over 4) keeps idle connections for an Nth of that time, and a sender with nothing else to do wakes to give them back.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -21,6 +21,7 @@
 constexpr double kOpenAims = 0.4;    // first open time: several trials fit inside an aim's worth of lateness
 constexpr double kOpenGrowth = 1.5;  // open time grows while trials fail: long outages cost few calls
 constexpr double kFleetTrials = 4;   // so many trials an aim from the whole fleet harm nobody
+constexpr int kFewSenders = 4;       // whose idle connections fill no table
 constexpr double kProvenGap = 0.5;   // trials at least so many aims apart where a failed one costs no call
 constexpr double kJitter = 0.2;      // spread of open times, so that senders' trials do not fall together
 constexpr double kOverdue = 6;       // calls older than this many usual durations are judged before they end
@@ -104,6 +105,10 @@
     if (wakeAt_ <= now_) wakeAt_ = 0;
     Micros wake = messages_.empty() && flights_.empty() ? kNever : now_ + pump_;
     if (s_.directoryOnRequest && !watching_) wake = std::min(wake, std::max(nextWatch_, now_ + pump_));
+    for (const auto& [kind, keep] : keeps_) {
+      if (!keep.unused.empty() && keepFor(keep) < s_.connectionIdle)
+        wake = std::min(wake, std::max(now_ + pump_, keep.unused.front().first + keepFor(keep)));
+    }
     if (wake < kNever && (wakeAt_ == 0 || wakeAt_ > wake)) {
       out_.push_back(SetTimer{std::max<Micros>(1, wake - now_), 0});
       wakeAt_ = wake;
@@ -621,15 +626,19 @@
   }
 
   // Idle connections of many senders fill small tables, and some networks drop them unseen: what is sent on
-  // one may have run. A failed connect halves the time that they are kept for, by kind; a call lost on an
-  // idle one brings it to half of that idle time; it doubles in each window. A crash costs handshakes for a
-  // while.
+  // one may have run. Those who sit in a full table see nothing of it, so a large fleet keeps none for longer
+  // than lets all together hold what one sender would; the price is a handshake for most calls. A failed
+  // connect halves the time that they are kept for, by kind; a call lost on an idle one brings it to half of
+  // that idle time; it doubles in each window. A crash costs handshakes for a while.
   Keep& keepOf(const Endpoint& ep) { return keeps_[ep.entry.kind]; }
   Micros keepFor(const Keep& keep) const {
-    if (keep.cutAt < 0) return s_.connectionIdle;
+    if (keep.cutAt < 0) return longestKeep();
     const double grown =
         keep.limit * std::exp2(std::min(64.0, static_cast<double>(now_ - keep.cutAt) / window_));
-    return static_cast<Micros>(std::min(grown, static_cast<double>(s_.connectionIdle)));
+    return static_cast<Micros>(std::min(grown, static_cast<double>(longestKeep())));
+  }
+  Micros longestKeep() const {
+    return s_.fleetSize > kFewSenders ? s_.connectionIdle / s_.fleetSize : s_.connectionIdle;
   }
   void cutKeep(Endpoint& ep, Micros limit) {
     Keep& keep = keepOf(ep);
