A fleet spreads its asks for the list, so that a herd no longer keeps the directory busy

Counted over the 100 logs: 26 of the first 100 asks were answered, all at t=0; of the 46 that asked again at 2.1 s none, nor of those at 5, 8 and 11 s; after 70 forwarders restarted at 14.6 s about 32 asks a second were turned away until the end, so nobody learned of the new targets. Ruled out: the service being down (it answers the first 26), the retry in directory/discovery.cpp alone (its 1.6 s at most is added to the module's 1 s).

Cause: the first round asks at once, and askWithin / 10 after each ask again, in src/policy/logic.cpp, whatever the size of the fleet: a hundred asks at once and 30 a second afterwards, for a service that does a dozen a second and also works through the calls whose callers have gone.

Change: the first ask lies anywhere in, and each further one half to the whole of, 80 ms for each sender of the fleet, eight tenths of askWithin at most; up to four senders ask as before. What is known serves meanwhile.

A fleet of three asks in its first round.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -22,6 +22,8 @@
 constexpr double kOpenGrowth = 1.5;  // open time grows while trials fail: long outages cost few calls
 constexpr double kFleetTrials = 4;   // so many trials an aim from the whole fleet harm nobody
 constexpr int kFewSenders = 4;       // whose idle connections fill no table
+constexpr double kAskEach = 80'000;  // microseconds of a directory's time for one call
+constexpr double kAskShare = 0.8;    // of the time that may pass without an ask
 constexpr double kProvenGap = 0.5;   // trials at least so many aims apart where a failed one costs no call
 constexpr double kJitter = 0.2;      // spread of open times, so that senders' trials do not fall together
 constexpr double kOverdue = 6;       // calls older than this many usual durations are judged before they end
@@ -85,7 +87,10 @@
   }
 
   std::vector<Action> round(Micros now, const std::vector<Event>& events) {
-    if (startedAt_ < 0) startedAt_ = now;
+    if (startedAt_ < 0) {
+      startedAt_ = now;
+      nextWatch_ = now + static_cast<Micros>(random_.uniform() * askSpread());
+    }
     now_ = std::max(now_, now);
     out_.clear();
     for (const Event& event : events) {
@@ -93,7 +98,8 @@
     }
     if (s_.directoryOnRequest && !watching_ && now_ >= nextWatch_) {
       out_.push_back(Watch{true});
-      nextWatch_ = now_ + std::max<Micros>(s_.askWithin / 10, s_.period);
+      const double spread = (0.5 + 0.5 * random_.uniform()) * askSpread();
+      nextWatch_ = now_ + std::max({s_.askWithin / 10, s_.period, static_cast<Micros>(spread)});
       asked_ = true;
     }
     endOverdueMessages();
@@ -117,6 +123,16 @@
   }
 
  private:
+  // One service tells the list to all and works through their calls in turn, those too whose callers have
+  // given up: a fleet that asks all at once, or again too soon, keeps it busy for nobody. So the asks are
+  // spread over what such a service needs for one call of each, within the time that the settings allow
+  // without one. What is known serves meanwhile; a single newcomer of a large fleet waits for its list for
+  // nothing.
+  double askSpread() const {
+    return std::min(kAskEach * std::max(0, s_.fleetSize - kFewSenders),
+                    kAskShare * static_cast<double>(std::max<Micros>(0, s_.askWithin)));
+  }
+
   // ---- Events ----
 
   void on(const Arrival& a) {
--- a/tests/fleet_bed.hpp
+++ b/tests/fleet_bed.hpp
@@ -27,6 +27,16 @@
   Micros downFrom = -1, downTo = -1;  // connections are refused
 };
 
+// The directory, where it answers on request: it works through calls in turn, also those whose callers have
+// gone, and ends a call that has waited for too long.
+struct AskedDirectory {
+  Micros each = 0;  // its time for a call; 0: none of its asks is looked at
+  Micros patience = 2'000'000;
+  Micros free = 0;  // when it is through with all that has come
+  std::size_t calls = 0, refused = 0, served = 0;
+  Micros lastServed = -1;
+};
+
 // What became of the calls in a time of the day.
 struct Tally {
   std::size_t arrived = 0, calls = 0, done = 0, full = 0, unreached = 0, handshakes = 0, refused = 0,
@@ -38,7 +48,8 @@
   static constexpr Micros kOneWay = 8'000;
   static constexpr Micros kTally = 500'000;  // a tally for each such time
 
-  FleetBed(int senders, Settings settings, std::map<std::int64_t, Place> places, std::uint64_t seed)
+  FleetBed(int senders, Settings settings, std::map<std::int64_t, Place> places, std::uint64_t seed,
+           Micros startSpread = 0)
       : settings_(std::move(settings)), random_(seed) {
     settings_.fleetSize = senders;
     DirectoryView view;
@@ -50,7 +61,8 @@
       settings_.me = i;
       senders_.push_back(
           std::make_unique<One>(Sender(settings_, seed * 1'000 + static_cast<std::uint64_t>(i))));
-      give(*senders_.back(), view);
+      at(startSpread == 0 ? 0 : static_cast<Micros>(random_() % static_cast<std::uint64_t>(startSpread)),
+         [this, &s = *senders_.back(), view] { give(s, view); });
     }
   }
 
@@ -73,6 +85,8 @@
     });
   }
 
+  AskedDirectory directory;
+
   void run(Micros until) {
     while (!agenda_.empty() && agenda_.begin()->first <= until) {
       now_ = agenda_.begin()->first;
@@ -111,6 +125,7 @@
     std::map<MessageId, std::int64_t> to;
     std::map<MessageId, int> attempts;
     std::map<std::int64_t, int> idle;  // connections at rest
+    bool asking = false, watching = false;
   };
   struct State {
     Place model;
@@ -137,10 +152,26 @@
       } else if (const auto* i = std::get_if<CloseIdle>(&action)) {
         const std::int64_t destination = destinationOf(i->target);
         state_.at(destination).open -= std::exchange(s.idle[destination], 0);
+      } else if (std::holds_alternative<Watch>(action) && directory.each > 0 && !s.asking && !s.watching) {
+        ask(s);
       }
     }
   }
 
+  void ask(One& s) {
+    s.asking = true;
+    ++directory.calls;
+    directory.free = std::max(now_, directory.free) + directory.each;
+    const bool inTime = directory.free <= now_ + directory.patience;
+    at(inTime ? directory.free : now_ + directory.patience, [this, &s, inTime] {
+      s.asking = false;
+      s.watching = inTime;
+      ++(inTime ? directory.served : directory.refused);
+      if (inTime) directory.lastServed = now_;
+      give(s, DirectoryView{inTime ? ViewScope::changes : ViewScope::refused, {}});
+    });
+  }
+
   void send(One& s, const Call& call) {
     const std::int64_t destination = destinationOf(call.target);
     State& d = state_.at(destination);
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -32,6 +32,34 @@
   }
 }
 
+// Guards against a herd at the directory: asked by all in the same 50 ms, and again by all who were turned
+// away, it works for callers that have gone and tells nobody anything for as long as they go on. Here it
+// takes ten calls a second, and a hundred of a thousand senders: such services grow with their fleets.
+TEST_P(LargeFleet, AHerdThatStartsTogetherHasItsListSoon) {
+  Settings s = Bed::plain();
+  s.directoryOnRequest = true;
+  s.askWithin = 10 * kSecond;
+  for (const std::uint64_t seed : {1U, 2U}) {
+    FleetBed fleet(GetParam(), s, {{1, Place{}}}, seed, 50'000);
+    fleet.directory.each = std::min<Micros>(100'000, 10 * kSecond / GetParam());
+    fleet.run(40 * kSecond);
+    EXPECT_EQ(fleet.directory.served, static_cast<std::size_t>(GetParam())) << "seed " << seed;
+    EXPECT_LT(fleet.directory.lastServed, GetParam() > 4 ? 20 * kSecond : 12 * kSecond) << "seed " << seed;
+    EXPECT_LE(fleet.directory.calls, 2 * static_cast<std::size_t>(GetParam())) << "seed " << seed;
+  }
+}
+
+// A fleet of few asks at once, as ever: nobody else is in its way.
+TEST(SmallFleet, AsksInItsFirstRound) {
+  Settings s = Bed::plain();
+  s.directoryOnRequest = true;
+  s.askWithin = 10 * kSecond;
+  FleetBed fleet(3, s, {{1, Place{}}}, 1);
+  fleet.directory.each = 20'000;
+  fleet.run(kSecond / 10);
+  EXPECT_EQ(fleet.directory.served, 3U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, LargeFleet, testing::Values(3, 100, 1000));
 
 }  // namespace
