A seldom sender's pace after a refusal follows what it sent, not that nothing was answered

Counted over the 100 logs: those who were refused once are silent for 10 s and hold up to their room, those who were not go on with single messages.

Cause: refused() sets the pace from rate(lane), answered calls over one aim, which is near 0 for a sender with a call every few seconds, and bounds it by kFleetTrials / fleetSize an aim (src/policy/logic.cpp): one call a minute with 100 senders, until the pace is dropped after 10 s. Ruled out: the limit itself (no refusals), tickets (one call at a time leaves room for ten times as much).

Change: the pace is cut from at least half of what was sent lately, and never under a call an aim of each sender; it is dropped against what is sent. Refusals in a row still double the pause.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -38,6 +38,7 @@
 constexpr double kAskedWarmUps = 4;  // messages count for a destination's usual traffic over so many warm-ups
 constexpr double kPaceCut = 0.85;    // pace after a refusal, of what was taken lately
 constexpr double kFullCut = 0.75;    // tickets after a full queue where there is no limit
+constexpr double kLeastTaken = 0.5;  // of the calls sent lately: so many a limit is taken to let through
 constexpr double kPaceGrowth = 0.1;  // growth of the pace in a second without refusals
 constexpr double kPaceBurstAims = 0.2;  // unused pace that is kept, in shortest aims
 constexpr double kRefusedHold = 0.1;    // cuts of the pace lie so many shortest aims apart
@@ -437,7 +438,7 @@
       const double idle = static_cast<double>(std::max<Micros>(0, now_ - lane.paced.at)) / kSecond;
       lane.pace *= 1 + kPaceGrowth * idle;
       lane.paced.fill(now_, lane.pace, std::max(1.0, lane.pace * kPaceBurstAims * aim_ / kSecond));
-      if (now_ - lane.lastCut > static_cast<Micros>(window_) && lane.pace > 3 * rate(lane)) lane.pace = 0;
+      if (now_ - lane.lastCut > static_cast<Micros>(window_) && lane.pace > 3 * sentRate(lane)) lane.pace = 0;
       if (lane.pace > 0 && lane.paced.tokens < 1) return Gate::shut;
     }
     if (bulkhead && (lane.inFlight - lane.hung >= ticketsOf(lane) || lane.inFlight >= cap(lane)))
@@ -446,10 +447,12 @@
   }
 
   double rate(const Lane& lane) const { return lane.taken.get(now_, aim_) / aim_ * kSecond; }
+  double sentRate(const Lane& lane) const { return lane.sent.get(now_, aim_) / aim_ * kSecond; }
 
   void depart(Lane& lane, bool trial) {
     lane.inFlight += 1;
     lane.calls.add(now_, window_, 1);
+    lane.sent.add(now_, aim_, 1);
     if (trial) {
       lane.state = State::trial;
       lane.trialsOut += 1;
@@ -585,9 +588,11 @@
         lane.tickets = std::max(kFirstTickets, std::floor(ticketsOf(lane) * kFullCut));
         lane.pace = 0;
       } else {
-        double now = lane.pace > 0 ? std::min(rate(lane), lane.pace) : rate(lane);
+        // Who sends a call now and then had none answered lately, or one: that says nothing of its share.
+        double now = std::max(rate(lane), kLeastTaken * sentRate(lane));
+        if (lane.pace > 0) now = std::min(now, lane.pace);
         now = std::max(now, kErrorShare * lane.rating / s_.fleetSize);
-        lane.pace = std::max(kPaceCut * now, std::min(1.0, kFleetTrials / s_.fleetSize) * kSecond / aim_);
+        lane.pace = std::max(kPaceCut * now, kSecond / aim_);
         lane.paced = Bucket{1, now_};  // the hold or the wait is over before it is used
       }
     }
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -76,6 +76,7 @@
   bool unlimited = false;  // a report said that only its capacity limits it
   double pace = 0;         // calls a second; 0: none
   Bucket paced;
+  Fading sent;            // calls that left
   Fading taken;           // calls answered
   Fading answered, lost;  // in the breaker's window: calls answered, and those that later ones overtook
   Fading asked;           // messages that came for it, each once
--- a/tests/fleet_bed.hpp
+++ b/tests/fleet_bed.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <map>
@@ -22,8 +23,9 @@
   int table = std::numeric_limits<int>::max();  // connections that it holds, idle ones counted
   int limit = std::numeric_limits<int>::max();  // calls that it takes in each span
   Micros span = 1'000'000;
-  bool refusedCount = false;  // refused calls use the limit up: the span's end moves on by their share
-  bool tellsWait = false;     // a refusal tells the time to the span's end
+  bool refusedCount =
+      false;               // refused calls use the limit up, which then holds in any span, not in fixed ones
+  bool tellsWait = false;  // a refusal tells the time to the span's end
   Micros downFrom = -1, downTo = -1;  // connections are refused
 };
 
@@ -130,8 +132,7 @@
   struct State {
     Place model;
     int open = 0;
-    std::int64_t inSpan = -1;
-    double taken = 0;
+    std::deque<Micros> taken;  // when calls came that count
   };
 
   static TargetId nameOf(std::int64_t destination) { return "t" + std::to_string(destination); }
@@ -195,13 +196,11 @@
         ++d.open;
         ++tally(destination).handshakes;
       }
-      if (now_ / d.model.span != d.inSpan) {
-        d.taken = d.model.refusedCount ? std::max(0.0, d.taken - d.model.limit) : 0;
-        d.inSpan = now_ / d.model.span;
-      }
-      o.ending = d.taken < d.model.limit ? Ending::done : Ending::busy;
-      if (o.ending == Ending::done || d.model.refusedCount) d.taken += 1;
-      if (o.ending == Ending::busy && d.model.tellsWait) o.wait = (d.inSpan + 1) * d.model.span - now_;
+      const Micros from = d.model.refusedCount ? now_ - d.model.span : now_ / d.model.span * d.model.span;
+      while (!d.taken.empty() && d.taken.front() < from) d.taken.pop_front();
+      o.ending = d.taken.size() < static_cast<std::size_t>(d.model.limit) ? Ending::done : Ending::busy;
+      if (o.ending == Ending::done || d.model.refusedCount) d.taken.push_back(now_);
+      if (o.ending == Ending::busy && d.model.tellsWait) o.wait = d.taken.front() + d.model.span - now_;
     }
     o.settled = o.ending == Ending::done;
     Tally& counted = tally(destination);
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -49,6 +49,27 @@
   }
 }
 
+// Guards against a pace that forgets who is seldom: a sender with a call every few seconds had none taken
+// lately when one is refused. Paced by that it came back after a minute, and most of a limit stood unused
+// while messages for it ran out of time.
+TEST(HundredSenders, UseALimitAgainAfterRefusals) {
+  for (const bool tells : {false, true}) {
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+      Place limited;
+      limited.limit = 40;
+      limited.tellsWait = tells;
+      FleetBed fleet(100, Bed::plain(), {{1, limited}}, seed);
+      fleet.traffic(1, 60, 0, 4 * kSecond);  // above the limit for a while, below it afterwards
+      fleet.traffic(1, 36, 4 * kSecond, 20 * kSecond);
+      fleet.run(20 * kSecond);
+      const Tally after = fleet.sum(1, 6 * kSecond, 12 * kSecond);  // a backlog is there
+      EXPECT_GT(static_cast<double>(after.done), 0.85 * 40 * 6)
+          << "seed " << seed << ", waits told " << tells;
+      EXPECT_LT(static_cast<double>(after.full), 0.2 * static_cast<double>(after.done)) << "seed " << seed;
+    }
+  }
+}
+
 // A fleet of few asks at once, as ever: nobody else is in its way.
 TEST(SmallFleet, AsksInItsFirstRound) {
   Settings s = Bed::plain();
