--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -97,7 +97,7 @@
   std::vector<Action> round(Micros now, const std::vector<Event>& events) {
     if (startedAt_ < 0) {
       startedAt_ = now;
-      nextWatch_ = now + static_cast<Micros>(random_.uniform() * askSpread());
+      if (askSpread() > 0) nextWatch_ = now + static_cast<Micros>(random_.uniform() * askSpread());
     }
     now_ = std::max(now_, now);
     out_.clear();
@@ -106,7 +106,7 @@
     }
     if (s_.directoryOnRequest && !watching_ && now_ >= nextWatch_) {
       out_.push_back(Watch{true});
-      const double spread = (0.5 + 0.5 * random_.uniform()) * askSpread();
+      const double spread = askSpread() > 0 ? (0.5 + 0.5 * random_.uniform()) * askSpread() : 0;
       nextWatch_ = now_ + std::max({s_.askWithin / 10, s_.period, static_cast<Micros>(spread)});
       asked_ = true;
     }
