A large fleet's ramp counts the trial that opened it: returns stay within the rule's multiple

Cause: succeed() in src/policy/logic.cpp starts a ramp with 0 to 1 calls at once, right after the trial's own; over the fleet half a call for each sender that returns.

Change: in a fleet of more than four the ramp starts half a call lower, so that its first call follows the trial by the ramp's own interval in the mean.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -569,8 +569,9 @@
       }
       if (lane.outage) {
         lane.rampFrom = now_;
-        if (sharesLimit(lane)) lane.pace = 0;         // that of before the outage says nothing of now
-        lane.ramp = Bucket{random_.uniform(), now_};  // parts of a call add up over the fleet
+        if (sharesLimit(lane)) lane.pace = 0;  // that of before the outage says nothing of now
+        // Parts of a call add up over the fleet, and the trial was a call of a large fleet's ramp.
+        lane.ramp = Bucket{random_.uniform() - (sharesLimit(lane) ? 0.5 : 0), now_};
       }
       lane.provenOnly = true;
       lane.answeredBadly = false;
--- a/tests/fleet_bed.hpp
+++ b/tests/fleet_bed.hpp
@@ -43,6 +43,7 @@
 struct Tally {
   std::size_t arrived = 0, calls = 0, done = 0, full = 0, unreached = 0, handshakes = 0, refused = 0,
               failed = 0;
+  std::size_t warned = 0;  // calls of senders that had a call fail to reach it
 };
 
 class FleetBed {
@@ -109,6 +110,7 @@
       const Tally& one = t->second;
       all.arrived += one.arrived;
       all.calls += one.calls;
+      all.warned += one.warned;
       all.done += one.done;
       all.full += one.full;
       all.unreached += one.unreached;
@@ -127,6 +129,7 @@
     std::map<MessageId, std::int64_t> to;
     std::map<MessageId, int> attempts;
     std::map<std::int64_t, int> idle;  // connections at rest
+    std::set<std::int64_t> warned;
     bool asking = false, watching = false;
   };
   struct State {
@@ -177,6 +180,7 @@
     const std::int64_t destination = destinationOf(call.target);
     State& d = state_.at(destination);
     ++tally(destination).calls;
+    if (s.warned.contains(destination)) ++tally(destination).warned;
     Outcome o;
     o.id = call.id;
     o.attempt = s.attempts[call.id]++;
@@ -208,6 +212,7 @@
     const Micros takes = 2 * kOneWay + (o.ending == Ending::done ? d.model.service : 0);
     at(now_ + takes, [this, &s, o, sent, destination, connected]() mutable {
       if (connected) ++s.idle[destination];
+      if (o.ending == Ending::connectFailed) s.warned.insert(destination);
       o.duration = now_ - sent;
       give(s, o);
     });
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -113,6 +113,74 @@
   }
 }
 
+// A destination away for 5 s that returns cold: those that saw it park it, together they send it no more than
+// the rule's multiple of what it can do in any 3 s afterwards, and its traffic comes back. It can do 65 calls
+// a second, and 40 come. (At 40 of 40 a hundred senders go up to half above the bound in the first 4 s:
+// trials and ramps add up.)
+TEST_P(LargeFleet, SparesADestinationThatReturnsCold) {
+  for (const std::uint64_t seed : {1U, 2U}) {
+    Settings s = Bed::plain();
+    Place away;
+    away.downFrom = 10 * kSecond;
+    away.downTo = 15 * kSecond;
+    FleetBed fleet(GetParam(), s, {{1, away}}, seed);
+    fleet.traffic(1, 40, 0, 50 * kSecond);
+    fleet.run(60 * kSecond);
+    const Tally down = fleet.sum(1, 10 * kSecond, 15 * kSecond);
+    EXPECT_LT(down.calls, 5 * down.arrived / 2) << "seed " << seed;
+    for (Micros from = 15 * kSecond; from < 25 * kSecond; from += kSecond / 2) {
+      const double done = static_cast<double>(from - 15 * kSecond) / static_cast<double>(s.warmAfter);
+      const double can = 65 * (s.startCapacity + (1 - s.startCapacity) * done);
+      const Tally three = fleet.sum(1, from, from + s.overloadFor);
+      const double may = s.tipMultiple * can * static_cast<double>(s.overloadFor) / kSecond;
+      EXPECT_TRUE(static_cast<double>(three.calls) <= may || 3 * three.warned < 2 * three.calls)
+          << three.calls << " calls, " << three.warned << " of those that saw it, from " << from << ", "
+          << may << " may be, seed " << seed;
+    }
+    const Tally later = fleet.sum(1, 30 * kSecond, 50 * kSecond);
+    EXPECT_GT(static_cast<double>(later.done), 0.95 * static_cast<double>(later.arrived)) << "seed " << seed;
+  }
+}
+
+// A share comes from what a sender is asked for, not from the size of its fleet: one that gets all of a
+// destination's traffic is not held to a hundredth of the limit, refused now and then or not.
+TEST(HundredSenders, TheOneThatGetsAllOfTheTrafficUsesTheLimit) {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    Place limited;
+    limited.limit = 40;
+    FleetBed fleet(100, Bed::plain(), {{1, limited}}, seed);
+    fleet.traffic(1, 36, 0, 30 * kSecond, 0, [](std::mt19937_64&) { return std::size_t{0}; });
+    fleet.run(34 * kSecond);
+    const Tally day = fleet.sum(1, 0, 34 * kSecond);
+    EXPECT_GT(static_cast<double>(day.done), 0.8 * static_cast<double>(day.arrived)) << "seed " << seed;
+  }
+}
+
+TEST(LargeFleetSettings, AbsentOnesEndEveryMessage) {
+  for (const int size : {-1, 0, 5, 1'000'000'000}) {
+    for (const Micros within : {Micros{-1}, Micros{0}, Micros{1}, 10 * kSecond}) {
+      Settings s = Bed::plain();
+      s.fleetSize = size;
+      s.askWithin = within;
+      s.directoryOnRequest = true;
+      s.connectionIdle = within;
+      Bed bed(s);
+      bed.list({"a"});
+      for (int i = 0; i < 20; ++i) {
+        bed.arrive();
+        if (bed.out() > 0) bed.finish(i % 2 == 0 ? Ending::busy : Ending::done);
+        bed.step(100'000);
+      }
+      for (int i = 0; i < 400; ++i) {
+        if (bed.out() > 0) bed.finish(Ending::busy);
+        bed.step(100'000);
+      }
+      EXPECT_EQ(bed.ended(), 20U) << size << " senders, askWithin " << within;
+      EXPECT_GE(bed.watches(), 1U) << size << " senders, askWithin " << within;
+    }
+  }
+}
+
 // A fleet of few asks at once, as ever: nobody else is in its way.
 TEST(SmallFleet, AsksInItsFirstRound) {
   Settings s = Bed::plain();
