Small fleets wake for idle connections no more than before

What decides differently for up to four senders is the wake that gives idle connections back with nothing else to do, which a failed connect switches on there as well; whether it is the cause is not measured.

Change: that wake is a large fleet's. Fleets of up to four decide as before the larger fleet came.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -120,7 +120,7 @@
     Micros wake = messages_.empty() && flights_.empty() ? kNever : now_ + pump_;
     if (s_.directoryOnRequest && !watching_) wake = std::min(wake, std::max(nextWatch_, now_ + pump_));
     for (const auto& [kind, keep] : keeps_) {
-      if (!keep.unused.empty() && keepFor(keep) < s_.connectionIdle)
+      if (s_.fleetSize > kFewSenders && !keep.unused.empty() && keepFor(keep) < s_.connectionIdle)
         wake = std::min(wake, std::max(now_ + pump_, keep.unused.front().first + keepFor(keep)));
     }
     if (wake < kNever && (wakeAt_ == 0 || wakeAt_ > wake)) {
