A large fleet's cut minds a listed limit; the fleet's rules said once

Found by reading the change again. cutShare() left out what the pace of small fleets has always minded: a listed limit. A hundred senders at a listed 400 calls a second, four refusals in a row: the next call after more than 20 s, now within 3 s (test; fails without).

Written twice and now once: the rate of what came for a lane (demand() beside shareOf()), the spread of an ask, the test for a large fleet.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -21,7 +21,7 @@
 constexpr double kOpenAims = 0.4;    // first open time: several trials fit inside an aim's worth of lateness
 constexpr double kOpenGrowth = 1.5;  // open time grows while trials fail: long outages cost few calls
 constexpr double kFleetTrials = 4;   // so many trials an aim from the whole fleet harm nobody
-constexpr int kFewSenders = 4;       // whose idle connections fill no table
+constexpr int kFewSenders = 4;       // learn fast enough alone, and fill no table; more are a large fleet
 constexpr double kAskEach = 80'000;  // microseconds of a directory's time for one call
 constexpr double kAskShare = 0.8;    // of the time that may pass without an ask
 constexpr double kProvenGap = 0.5;   // trials at least so many aims apart where a failed one costs no call
@@ -97,7 +97,7 @@
   std::vector<Action> round(Micros now, const std::vector<Event>& events) {
     if (startedAt_ < 0) {
       startedAt_ = now;
-      if (askSpread() > 0) nextWatch_ = now + static_cast<Micros>(random_.uniform() * askSpread());
+      nextWatch_ = now + spreadAsk(0);
     }
     now_ = std::max(now_, now);
     out_.clear();
@@ -106,8 +106,7 @@
     }
     if (s_.directoryOnRequest && !watching_ && now_ >= nextWatch_) {
       out_.push_back(Watch{true});
-      const double spread = askSpread() > 0 ? (0.5 + 0.5 * random_.uniform()) * askSpread() : 0;
-      nextWatch_ = now_ + std::max({s_.askWithin / 10, s_.period, static_cast<Micros>(spread)});
+      nextWatch_ = now_ + std::max({s_.askWithin / 10, s_.period, spreadAsk(0.5)});
       asked_ = true;
     }
     endOverdueMessages();
@@ -119,8 +118,9 @@
     if (wakeAt_ <= now_) wakeAt_ = 0;
     Micros wake = messages_.empty() && flights_.empty() ? kNever : now_ + pump_;
     if (s_.directoryOnRequest && !watching_) wake = std::min(wake, std::max(nextWatch_, now_ + pump_));
-    for (const auto& [kind, keep] : keeps_) {
-      if (s_.fleetSize > kFewSenders && !keep.unused.empty() && keepFor(keep) < s_.connectionIdle)
+    for (auto at = keeps_.begin(); large() && at != keeps_.end(); ++at) {
+      const Keep& keep = at->second;
+      if (!keep.unused.empty())
         wake = std::min(wake, std::max(now_ + pump_, keep.unused.front().first + keepFor(keep)));
     }
     if (wake < kNever && (wakeAt_ == 0 || wakeAt_ > wake)) {
@@ -136,10 +136,14 @@
   // spread over what such a service needs for one call of each, within the time that the settings allow
   // without one. What is known serves meanwhile; a single newcomer of a large fleet waits for its list for
   // nothing.
-  double askSpread() const {
-    return std::min(kAskEach * std::max(0, s_.fleetSize - kFewSenders),
-                    kAskShare * static_cast<double>(std::max<Micros>(0, s_.askWithin)));
+  Micros spreadAsk(double least) {
+    if (!large()) return 0;
+    const double all = std::min(kAskEach * (s_.fleetSize - kFewSenders),
+                                kAskShare * static_cast<double>(std::max<Micros>(0, s_.askWithin)));
+    return static_cast<Micros>((least + (1 - least) * random_.uniform()) * all);
   }
+  // Each sees few calls, and what one may do all must not do at once.
+  bool large() const { return s_.fleetSize > kFewSenders; }
 
   // ---- Events ----
 
@@ -407,10 +411,13 @@
   // This sender's share of a destination, in calls a second: of its listed rate, of what a small one takes,
   // or what came here for it. The more senders, the less each may send, or they push over what comes back.
   double askedFor() const { return kAskedWarmUps * static_cast<double>(std::max(s_.warmAfter, s_.period)); }
-  double shareOf(const Lane& lane) const {
+  // Messages a second that came for the lane, over `least` microseconds at least.
+  double askedRate(const Lane& lane, double least) const {
     const double seen = askedFor() * (1 - std::exp(-static_cast<double>(now_ - startedAt_) / askedFor()));
-    const double asked =
-        lane.asked.get(now_, askedFor()) / std::max(seen, askedFor() / kAskedWarmUps) * kSecond;
+    return lane.asked.get(now_, askedFor()) / std::max(seen, least) * kSecond;
+  }
+  double shareOf(const Lane& lane) const {
+    const double asked = askedRate(lane, askedFor() / kAskedWarmUps);
     const double listed = lane.rating * (s_.weights == Weights::rough ? 0.67 : 1);
     return std::max(asked, std::max(listed, kLeastRate) / s_.fleetSize);
   }
@@ -582,22 +589,18 @@
     }
   }
 
-  // Messages a second that came for the lane; what a sender would call with if nothing held it back.
-  double demand(const Lane& lane) const {
-    const double seen = std::max(aim_, static_cast<double>(now_ - startedAt_));
-    return lane.asked.get(now_, askedFor()) / (askedFor() * (1 - std::exp(-seen / askedFor()))) * kSecond;
-  }
-
   // A limit that many share, where refused calls may use it up: with a little more than it allows nobody has
   // a call taken, so each refusal counts at once, and the way back is slow near the pace that was refused. It
   // guards against the fleet's standing in its own way; where refused calls cost nothing, some of the limit
   // stays unused.
-  bool sharesLimit(const Lane& lane) const { return s_.fleetSize > kFewSenders && !lane.unlimited; }
+  double listedShare(const Lane& lane) const { return kErrorShare * lane.rating / s_.fleetSize; }
+  bool sharesLimit(const Lane& lane) const { return large() && !lane.unlimited; }
   void cutShare(Lane& lane, Micros wait) {
-    double sent = std::max({sentRate(lane), kSecond / aim_, demand(lane)});
-    if (lane.rampFrom >= 0) sent = std::min(sent, rampRate(lane));
-    lane.pace = std::max(kShareCut * (lane.pace > 0 ? std::min(lane.pace, sent) : sent),
-                         kShareLeast * kSecond / aim_);
+    // What it would call with if nothing held it back: who was refused its first call has sent one.
+    double now = std::max({sentRate(lane), kSecond / aim_, askedRate(lane, aim_)});
+    if (lane.rampFrom >= 0) now = std::min(now, rampRate(lane));
+    if (lane.pace > 0) now = std::min(now, lane.pace);
+    lane.pace = std::max({kShareCut * now, kShareLeast * kSecond / aim_, listedShare(lane)});
     if (lane.refusals == 1) lane.refusedPace = lane.pace;
     lane.lastCut = now_;
     lane.paced = Bucket{0.5 - random_.uniform(), now_ + wait};
@@ -627,14 +630,15 @@
         lane.pace = 0;
       } else {
         double now = lane.pace > 0 ? std::min(rate(lane), lane.pace) : rate(lane);
-        now = std::max(now, kErrorShare * lane.rating / s_.fleetSize);
+        now = std::max(now, listedShare(lane));
         lane.pace = std::max(kPaceCut * now, kSecond / aim_);
         lane.paced = Bucket{1, now_};  // the hold or the wait is over before it is used
       }
     }
-    // At the end of a told wait all that were told come at once: in a large fleet each stays away longer.
+    // At the end of a told wait all that were told come at once: in a large fleet each stays away longer
+    // (here where there is no limit).
     const double pause = std::min(firstPause_ * std::exp2(std::min(lane.refusals - 1, 16)), trialGap(lane));
-    if (wait == 0 || s_.fleetSize > kFleetTrials)
+    if (wait == 0 || large())
       (lane.unlimited ? place : lane).pauseUntil =
           now_ + wait + static_cast<Micros>(pause * (0.5 + random_.uniform()));
   }
@@ -694,9 +698,7 @@
         keep.limit * std::exp2(std::min(64.0, static_cast<double>(now_ - keep.cutAt) / window_));
     return static_cast<Micros>(std::min(grown, static_cast<double>(longestKeep())));
   }
-  Micros longestKeep() const {
-    return s_.fleetSize > kFewSenders ? s_.connectionIdle / s_.fleetSize : s_.connectionIdle;
-  }
+  Micros longestKeep() const { return large() ? s_.connectionIdle / s_.fleetSize : s_.connectionIdle; }
   void cutKeep(Endpoint& ep, Micros limit) {
     Keep& keep = keepOf(ep);
     keep.limit = static_cast<double>(std::min(limit, keepFor(keep)));
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -156,6 +156,29 @@
   }
 }
 
+// A limit that is listed is believed: refusals cut no sender of a hundred below half of its part of it.
+TEST(LargeFleetSettings, AListedLimitBoundsTheCut) {
+  Settings s = Bed::plain();
+  s.fleetSize = 100;
+  s.weights = Weights::nominal;
+  Bed bed(s);
+  DirectoryView view;
+  view.entries.push_back({"a", 1, 0, 0, 400, Listing::inService});
+  bed.give({view});
+  for (int i = 0; i < 4; ++i) {
+    bed.arrive();
+    bed.stepUntilCall(8 * kSecond);
+    ASSERT_EQ(bed.out(), 1U);
+    bed.finish(Ending::busy);
+  }
+  const Micros from = bed.now();
+  bed.stepUntilCall(20 * kSecond);
+  const Micros paused = bed.now() - from;
+  if (bed.out() > 0) bed.finish(Ending::busy);
+  EXPECT_LT(paused,
+            3 * kSecond);  // 2 s at most by the pause of the fourth refusal, and a call at two a second
+}
+
 TEST(LargeFleetSettings, AbsentOnesEndEveryMessage) {
   for (const int size : {-1, 0, 5, 1'000'000'000}) {
     for (const Micros within : {Micros{-1}, Micros{0}, Micros{1}, 10 * kSecond}) {
