A new connection that finds no place is told apart from a limit, and costs less of the share

The carrier now tells it (Outcome::crowded); the module cuts the share to 0.85, not 0.6, and keeps idle connections of that kind for half as long, down to a round.

--- a/include/quilltide/sender.hpp
+++ b/include/quilltide/sender.hpp
@@ -107,6 +107,7 @@
   bool settled = false;
   bool spoilt =
       false;  // an error whose answer could not be read: the destination lives; never on the simulator
+  bool crowded = false;  // busy, and it was the new connection that found no place; never on the simulator
   Report report;
 };
 enum class ViewScope { changes, all, refused };
--- a/src/carriers/http/targets.cpp
+++ b/src/carriers/http/targets.cpp
@@ -86,6 +86,7 @@
       return send();
     }
     if (home_.open_ >= home_.most_ && !home_.makeRoom()) return notSent();
+    fresh_ = true;
     line_ = std::make_shared<Line>(home_.io_, home_.open_);
     line_->peer = address;
     connectBy_ = started_ + std::chrono::microseconds(home_.settings_.connectTimeout);
@@ -261,6 +262,7 @@
     o.settled = verdict.settled;
     o.noSlot = verdict.noSlot;
     o.spoilt = verdict.spoilt;
+    o.crowded = verdict.ending == Ending::busy && crowded_;
     o.report = report_;
     home_.outcome_(o);
   }
@@ -279,6 +281,9 @@
     std::vector<std::string> ids;
     for (const Parcel& p : parcels_) ids.push_back(p.id);
     if (home_.settings_.reports == ReportSource::answers) report_ = answer_.report();
+    // A limit or a queue that is full keeps the connection; who has no place for one ends it.
+    crowded_ = fresh_ && !answer_.parser().keep_alive() &&
+               answer_.parser().get().result() == http::status::service_unavailable;
     finish(answer_.verdicts(ids), answer_.wait(home_.longestWait_),
            answer_.parser().keep_alive() && line_->buffer.size() == 0);
   }
@@ -307,6 +312,7 @@
   Answer answer_;
   Report report_;  // of an answer that was read to its end
   int interim_ = 0;
+  bool fresh_ = false, crowded_ = false;  // its connection was new; and found no place
   bool written_ = false, over_ = false;
 };
 
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -42,6 +42,7 @@
 // The pace is a share of what comes for it, so that it holds as what comes is known better, and rises and
 // falls with it.
 constexpr double kShareCut = 0.6;        // share after each refused call, of the share before
+constexpr double kCrowdedCut = 0.85;     // and after one that found no place for its connection
 constexpr double kShareBack = 1.6;       // and after each answer, up to a quick way back's end:
 constexpr double kShareBelow = 0.8;      // so far below what the streak's first refusal met
 constexpr double kShareMore = 1.01;      // and from there on: all senders' steps add up
@@ -602,12 +603,12 @@
   double wantedRate(const Lane& lane) const {
     return std::max(askedRate(lane, aim_), kLeastRate / s_.fleetSize);
   }
-  void cutShare(Lane& lane, Micros wait) {
+  void cutShare(Lane& lane, Micros wait, double cut) {
     const double all = wantedRate(lane);
     double share = std::min(lane.share > 0 ? lane.share : 1, sentRate(lane) / all);
     if (lane.rampFrom >= 0) share = std::min(share, rampRate(lane) / all);
     if (lane.refusals == 1) lane.refusedShare = kShareBelow * share;
-    lane.share = std::max({kShareCut * share, kShareLeast, listedShare(lane) / all});
+    lane.share = std::max({cut * share, kShareLeast, listedShare(lane) / all});
     lane.pace = lane.share * all;
     lane.lastCut = now_;
     lane.paced = Bucket{0.5 - random_.uniform(), now_ + wait};
@@ -620,7 +621,7 @@
   // than a limit would take to have room again, or a long wait, mean shut.
   // A destination that says it has no limit refuses what its queue has no room for just now: that is for the
   // bulkhead, and only the endpoint whose queue was full rests.
-  void refused(Lane& lane, Lane& place, const TargetId& target, Micros wait) {
+  void refused(Lane& lane, Lane& place, const TargetId& target, Micros wait, double cut) {
     if (lane.refusals++ == 0) lane.refusedFrom = now_;
     const bool longOnly = now_ - lane.refusedFrom > static_cast<Micros>(aim_);
     if (lane.state != State::closed || (longOnly && lane.refusals > kErrorCount) || wait > aim_) {
@@ -629,7 +630,7 @@
       trip(lane, target);
       return;
     }
-    if (sharesLimit(lane)) return cutShare(lane, wait);
+    if (sharesLimit(lane)) return cutShare(lane, wait, cut);
     if (now_ - lane.lastCut > static_cast<Micros>(kRefusedHold * aim_)) {
       lane.lastCut = now_;
       if (lane.unlimited) {
@@ -650,6 +651,15 @@
           now_ + wait + static_cast<Micros>(pause * (0.5 + random_.uniform()));
   }
 
+  // The connection found no place: the call met no limit and no queue, but there may be more to do than
+  // places for it. Idle connections of the kind are kept for less, and the pace of a large fleet gives way by
+  // less.
+  void crowdedOut(Endpoint& ep, const TargetId& target) {
+    cutKeep(ep, std::max(keepFor(keepOf(ep)) / 2, pump_));
+    closeIdle(ep);
+    refused(mainLane(ep), ep.lane, target, 0, kCrowdedCut);
+  }
+
   // Some networks break single connections, at destinations that are well: a reset between close answers
   // tells nothing of the destination. One that crashed refuses the next connects, and these count in full.
   bool brokeAlone(const Lane& lane, const Outcome& o) const {
@@ -675,7 +685,8 @@
         lane->answeredSince = std::max(lane->answeredSince, f.sent);
         succeed(*lane, f.target, o.duration, f.trial);
       } else if (o.ending == Ending::busy) {
-        if (lane == &mainLane(ep)) refused(*lane, ep.lane, f.target, o.wait);
+        if (lane != &mainLane(ep)) continue;
+        o.crowded ? crowdedOut(ep, f.target) : refused(*lane, ep.lane, f.target, o.wait, kShareCut);
       } else if (lane->state == State::closed && (o.spoilt || brokeAlone(*lane, o))) {
         // It answers: a counted error, but no trouble of its own and no step to an outage.
         if (o.spoilt) lane->answeredSince = std::max(lane->answeredSince, f.sent);
@@ -695,9 +706,9 @@
 
   // Idle connections of many senders fill small tables, and some networks drop them unseen: what is sent on
   // one may have run. Those who sit in a full table see nothing of it, so a large fleet keeps none for longer
-  // than lets all together hold what one sender would; the price is a handshake for most calls. A failed
-  // connect halves the time that they are kept for, by kind; a call lost on an idle one brings it to half of
-  // that idle time; it doubles in each window. A crash costs handshakes for a while.
+  // than lets all together hold what one sender would; the price is a handshake for most calls. A failed or
+  // crowded connect halves the time that they are kept for, by kind; a call lost on an idle one brings it to
+  // half of that idle time; it doubles in each window. A crash costs handshakes for a while.
   Keep& keepOf(const Endpoint& ep) { return keeps_[ep.entry.kind]; }
   Micros keepFor(const Keep& keep) const {
     if (keep.cutAt < 0) return longestKeep();
--- a/tests/fleet_bed.hpp
+++ b/tests/fleet_bed.hpp
@@ -240,6 +240,7 @@
     bool connected = true;
     if (down || (!kept && d.open >= d.model.table)) {
       o.ending = down ? Ending::connectFailed : Ending::busy;
+      o.crowded = !down;
       if (kept) s.idle[destination] = (--d.open, s.idle[destination] - 1);
       connected = false;
     } else {
--- a/tests/growth_test.cpp
+++ b/tests/growth_test.cpp
@@ -92,6 +92,30 @@
   EXPECT_EQ(targets->idle("t" + std::to_string(3 * most - 1)), 1U);
 }
 
+// A limit or a full queue keeps the connection; who has no place for another one ends it, and only a new one
+// can be one too many.
+TEST_F(TargetsBed, TellsAFullTableFromALimit) {
+  targets->learn(change(json::array({entry("t1", target.text())})));
+  std::string answer;
+  target.handler = [&](Link& link) { link.write(answer); };
+  const auto ask = [&](const std::string& with) {
+    answer = with;
+    const std::size_t before = outcomes.size();
+    call("t1");
+    EXPECT_TRUE(until([&] { return outcomes.size() == before + 1; }));
+    return outcomes.back();
+  };
+  const std::string ends = "Connection: close\r\n";
+  EXPECT_TRUE(ask(FakeServer::answer(503, "", ends)).crowded);  // on a new connection
+  EXPECT_EQ(outcomes.back().ending, Ending::busy);
+  EXPECT_FALSE(ask(FakeServer::answer(200, "", ends)).crowded);
+  EXPECT_FALSE(ask(FakeServer::answer(429, "", ends + "X-Retry-In-Ms: 100\r\n")).crowded);
+  EXPECT_FALSE(ask(FakeServer::answer(503)).crowded);            // which is kept
+  EXPECT_FALSE(ask(FakeServer::answer(503, "", ends)).crowded);  // and had its place
+  EXPECT_EQ(target.links.size(), 4U);
+  EXPECT_TRUE(ask(FakeServer::answer(503, "", ends)).crowded);
+}
+
 // Out of descriptors a call was not sent: that says nothing of the target, and must not count against it.
 TEST_F(TargetsBed, DoesNotBlameATargetForItsOwnDescriptors) {
   targets->learn(change(json::array({entry("t0", target.text()), entry("t1", target.text())})));
