--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -42,6 +42,7 @@
 // The pace is a share of what comes for it, so that it holds as what comes is known better, and rises and
 // falls with it.
 constexpr double kShareCut = 0.6;        // share after each refused call, of the share before
+constexpr double kBatchCut = 0.4;        // where calls carry several: those held go with the next one
 constexpr double kCrowdedCut = 0.85;     // and after one that found no place for its connection
 constexpr double kShareBack = 1.6;       // and after each answer, up to a quick way back's end:
 constexpr double kShareBelow = 0.8;      // so far below what the streak's first refusal met
@@ -686,7 +687,8 @@
         succeed(*lane, f.target, o.duration, f.trial);
       } else if (o.ending == Ending::busy) {
         if (lane != &mainLane(ep)) continue;
-        o.crowded ? crowdedOut(ep, f.target) : refused(*lane, ep.lane, f.target, o.wait, kShareCut);
+        o.crowded ? crowdedOut(ep, f.target)
+                  : refused(*lane, ep.lane, f.target, o.wait, kindOf(ep).batch > 1 ? kBatchCut : kShareCut);
       } else if (lane->state == State::closed && (o.spoilt || brokeAlone(*lane, o))) {
         // It answers: a counted error, but no trouble of its own and no step to an outage.
         if (o.spoilt) lane->answeredSince = std::max(lane->answeredSince, f.sent);
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -320,6 +320,42 @@
             3 * kSecond);  // 2 s at most by the pause of the fourth refusal, and a call at two a second
 }
 
+// Where a call may carry several messages, those held go with the next one: a refusal cuts the calls by more
+// there, and a limit that was lowered under hundreds of senders is met by fewer calls sooner. Ten messages a
+// second, then three rounds of refusals: 0.9 s in the mean with the cut of single messages.
+TEST(LargeFleetSettings, BatchesWaitLongerForTheNextCall) {
+  Settings s = Bed::plain();
+  s.fleetSize = 100;
+  s.maxOpen = 1'000;
+  s.kinds = {{false, 10}};
+  Bed bed(s);
+  bed.list({"a"});
+  const auto endAll = [&](Ending ending) {
+    while (bed.out() > 0) bed.finish(ending);
+  };
+  constexpr int kCycles = 30;  // one differs from the next by the jitter
+  Micros waited = 0;
+  for (int cycle = 0; cycle < kCycles; ++cycle) {
+    for (int i = 0; i < 60; ++i) {
+      bed.arrive();
+      endAll(Ending::done);
+      bed.step(100'000);
+    }
+    endAll(Ending::done);
+    const Micros from = bed.now();
+    for (int refused = 0; refused < 3 && bed.now() < from + 60 * kSecond;) {
+      if (bed.out() > 0) {
+        endAll(Ending::busy);
+        ++refused;
+      }
+      if ((bed.now() / 20'000) % 5 == 0) bed.arrive();
+      bed.step(20'000);
+    }
+    waited += bed.now() - from;
+  }
+  EXPECT_GT(waited / kCycles, 1'100'000);
+}
+
 TEST(LargeFleetSettings, AbsentOnesEndEveryMessage) {
   for (const int size : {-1, 0, 5, 1'000'000'000}) {
     for (const Micros within : {Micros{-1}, Micros{0}, Micros{1}, 10 * kSecond}) {
--- a/tests/regression_test.py
+++ b/tests/regression_test.py
@@ -19,7 +19,10 @@
 calls = pathlib.Path(__file__).parent / "calls"
 calls.write_text((calls.read_text() if calls.exists() else "") + " ".join(sys.argv[1:]) + "\\n")
 if "entry" in step:
-    text = step["entry"] if isinstance(step["entry"], str) else json.dumps(step["entry"])
+    told = {"why": sys.argv[sys.argv.index("--why") + 1]}
+    text = step["entry"] if isinstance(step["entry"], str) else json.dumps({**told, **step["entry"]})
+    if step.get("beside"):
+        (pathlib.Path("journal") / "another.json").write_text(json.dumps({"why": "Another play", "days": []}))
     (pathlib.Path("journal") / f"play-{len(steps):03}.json").write_text(text)
 sys.exit(step.get("status", 0))
 """
@@ -133,6 +136,12 @@
         self.play([{"entry": entry(0.5)}, {"entry": entry(0.5)}], "--record")
         self.assertIn("last = { quick = 0.800, full = 0.700 }", (self.root / "panels.toml").read_text())
 
+    def test_a_play_of_somebody_else_beside_it_is_left_alone(self):
+        done = self.play([{"entry": entry(0.78), "beside": True}])
+        self.assertEqual(done.returncode, 0, done.stdout)
+        done = self.play([{"entry": entry(0.78, why="Not this one")}])
+        self.assertEqual(done.returncode, 1, done.stdout)
+
     def test_wrong_calls_are_told_and_play_nothing(self):
         for arguments in (["--panels", "none"], ["--why", "x" * 120]):
             done = self.play([{"entry": entry(0.9)}], *arguments)
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -29,6 +29,26 @@
   EXPECT_EQ(discovery.watches.size(), 1U);
 }
 
+// In the middle of a start: what the folder held goes on, the new address is asked when this forwarder's turn
+// among three hundred comes, and the old one never.
+TEST_F(NetBed, MovesDiscoveryInTheMiddleOfAStart) {
+  FakeDiscovery next(io);
+  config["settings"]["fleetSize"] = 300;
+  config["settings"]["rules"]["askWithinUs"] = 1'000'000;  // the first ask comes within 0.8 s
+  target.handler = [](Link&) {};
+  start();
+  client->enqueue("m1", "safe");
+  ASSERT_TRUE(until([&] { return target.requests.size() == 1 && discovery.watches.size() == 1; }));
+  kill();
+  target.handler = [](Link& link) { link.write(FakeServer::answer(200)); };
+  start();
+  forwarder->moveDiscovery(next.server.address());
+  EXPECT_TRUE(until([&] { return next.watches.size() == 1 && owed() == 0; }));
+  EXPECT_EQ(target.requests.size(), 2U);
+  EXPECT_EQ(discovery.watches.size(), 1U);  // of the life before
+  EXPECT_TRUE(next.notices.empty() && discovery.notices.empty());
+}
+
 // A discovery that is gone when its successor is named had failures counted: they delay nothing at the new
 // one.
 TEST_F(NetBed, WatchesTheNewDiscoveryWithoutTheOldOnesBackoff) {
