A rig of many processes: relays in every link, signals, folders, disks and clocks

Need: the issue on leases asks for tests that start several processes of the program and inject faults between them. rig/ starts them from a scenario in TOML or from a test; each link is a relay that cuts, stalls, delays, throttles, breaks or keeps half open a direction at a time; processes are killed, paused, restarted with their folder kept, lost or rolled back, with full disks and with clocks that run fast, slow or jump (src/clock, compiled in for tests alone). One merged time-line; a failing run prints its seed and its command.

--- /dev/null
+++ b/rig/relay.hpp
@@ -0,0 +1,63 @@
+// One link between two processes: a TCP relay whose two directions can each be held, slowed, cut and broken.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace quilltide::rig {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+enum class Way { toward, back };  // from who opened the connection to who took it, and the other one
+
+// What happens to the bytes of one direction, on connections that are open and on those that come.
+struct Faults {
+  bool cut = false;      // nothing passes; what was caught by it is reset when it is over
+  bool stalled = false;  // nothing passes, and all of it does when it is over
+  milliseconds delay{0};
+  std::size_t bytesPerSecond = 0;         // 0: as fast as they come
+  std::optional<std::size_t> resetAfter;  // so many bytes more pass on each connection, then it is reset
+  bool hideEnd = false;  // an end of this direction is not passed on: the other side stays half open
+  bool any() const {
+    return cut || stalled || delay.count() > 0 || bytesPerSecond > 0 || resetAfter || hideEnd;
+  }
+};
+
+// One thread: that of its io_context. Memory is bounded: 256 KiB a direction of a connection.
+class Relay {
+ public:
+  Relay(boost::asio::io_context& io, const tcp::endpoint& at, const tcp::endpoint& to);
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  tcp::endpoint at() const { return at_; }
+  void set(Way way, const Faults& faults);
+  const Faults& faults(Way way) const { return faults_[static_cast<int>(way)]; }
+  void heal();            // no faults in either direction, and connections are taken
+  void reset();           // every open connection, with a RST on both sides
+  void refuse(bool yes);  // new connections find nobody listening
+  std::size_t connections() const { return links_.size(); }
+  std::size_t passed(Way way) const { return passed_[static_cast<int>(way)]; }  // bytes, of all connections
+
+ private:
+  class Link;
+  void accept();
+  void listen();
+
+  boost::asio::io_context& io_;
+  tcp::endpoint at_, to_;
+  tcp::acceptor acceptor_;
+  Faults faults_[2];
+  std::size_t passed_[2] = {0, 0};
+  std::set<std::shared_ptr<Link>> links_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace quilltide::rig
--- /dev/null
+++ b/src/clock/clock.hpp
@@ -0,0 +1,27 @@
+// The one place where time is read: the machine's clocks, or in test builds clocks that a rig sets.
+#pragma once
+
+#include <cstdint>
+
+namespace quilltide::clocks {
+
+using Micros = std::int64_t;
+
+// Never steps back; counts from an arbitrary point. Goes on while this process is stopped by a signal.
+Micros steadyNow();
+// Since 1970; may step either way.
+Micros wallNow();
+
+// What a rig writes into the file that THISTLEYOKE_TEST_CLOCK names, where the program was built with
+// QUILLTIDE_TEST_CLOCK: shown = shownAt + (real - realAt) * rate, for each clock. The writer makes `version`
+// odd while it writes.
+struct Shown {
+  Micros realAt = 0, shownAt = 0;
+  double rate = 1.0;
+};
+struct ClockFile {
+  std::uint64_t version = 0;
+  Shown steady, wall;
+};
+
+}  // namespace quilltide::clocks
--- a/stand-ins/directory.cpp
+++ b/stand-ins/directory.cpp
@@ -16,10 +16,10 @@
 }
 }  // namespace
 
-Directory::Directory(boost::asio::io_context& io)
+Directory::Directory(boost::asio::io_context& io, const tcp::endpoint& at)
     : io_(io),
       alive_(io),
-      server_(io, [this](const std::shared_ptr<HttpServer::Link>& link) { take(link); }) {
+      server_(io, [this](const std::shared_ptr<HttpServer::Link>& link) { take(link); }, at) {
   keepAlive();
 }
 
--- a/stand-ins/directory.hpp
+++ b/stand-ins/directory.hpp
@@ -27,7 +27,7 @@
 
 class Directory {
  public:
-  explicit Directory(boost::asio::io_context& io);
+  explicit Directory(boost::asio::io_context& io, const tcp::endpoint& at = {ownLoopback(), 0});
 
   void set(const Listed& entry);        // added or changed; watches hear of it
   void remove(const std::string& uid);  // told as 'left'
--- a/stand-ins/http_server.cpp
+++ b/stand-ins/http_server.cpp
@@ -1,8 +1,6 @@
 // The connections of the scripted HTTP server.
 #include "http_server.hpp"
 
-#include <unistd.h>
-
 #include <boost/asio/write.hpp>
 
 namespace quilltide::standin {
@@ -11,11 +9,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-asio::ip::address ownLoopback() {
-  const auto pid = static_cast<std::uint32_t>(::getpid());
-  return asio::ip::address_v4((127U << 24) | (64U + (pid >> 16) % 64U) << 16 | (pid & 0xffffU));
-}
-
 HttpServer::Link::Link(HttpServer& home, tcp::socket socket) : home_(home), socket_(std::move(socket)) {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
--- a/stand-ins/http_server.hpp
+++ b/stand-ins/http_server.hpp
@@ -12,15 +12,13 @@
 #include <set>
 #include <string>
 
+#include "ports.hpp"
+
 namespace quilltide::standin {
 
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
-// A loopback address of this process's own: nobody's outgoing connection takes a port there, so one that was
-// let go for a while can be had again.
-boost::asio::ip::address ownLoopback();
-
 // One thread: that of its io_context.
 class HttpServer {
  public:
--- a/stand-ins/partner.cpp
+++ b/stand-ins/partner.cpp
@@ -56,11 +56,12 @@
   return at == byId_.end() ? 0 : at->second;
 }
 
-Partner::Partner(boost::asio::io_context& io, std::int64_t destination, Effects& effects, Pace pace)
+Partner::Partner(boost::asio::io_context& io, std::int64_t destination, Effects& effects, Pace pace,
+                 const tcp::endpoint& at)
     : destination_(destination),
       effects_(effects),
       pace_(pace),
-      server_(io, [this](const std::shared_ptr<HttpServer::Link>& link) { take(link); }) {}
+      server_(io, [this](const std::shared_ptr<HttpServer::Link>& link) { take(link); }, at) {}
 
 void Partner::away() { server_.stop(); }
 
--- a/stand-ins/partner.hpp
+++ b/stand-ins/partner.hpp
@@ -70,7 +70,8 @@
   // 0.
   using Script = std::function<Does(const std::string& id, int attempt)>;
 
-  Partner(boost::asio::io_context& io, std::int64_t destination, Effects& effects, Pace pace = {});
+  Partner(boost::asio::io_context& io, std::int64_t destination, Effects& effects, Pace pace = {},
+          const tcp::endpoint& at = {ownLoopback(), 0});
 
   void script(Script script) { script_ = std::move(script); }
   void pace(const Pace& pace) { pace_ = pace; }
--- a/stand-ins/process.cpp
+++ b/stand-ins/process.cpp
@@ -8,7 +8,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -17,8 +16,8 @@
 #include <stdexcept>
 #include <thread>
 
-#include "http_server.hpp"
 #include "platform.hpp"
+#include "ports.hpp"
 
 namespace quilltide::standin {
 
@@ -27,22 +26,6 @@
 
 namespace {
 
-// Nobody else listens there, also not between now and the forwarder's start: below the range from which the
-// system takes ports (32768 on), on an address that is this process's own, and each port once a round.
-tcp::endpoint freePort() {
-  static std::atomic<unsigned> next{0};
-  asio::io_context io;
-  for (int tries = 0; tries < 1'000; ++tries) {
-    const tcp::endpoint at(ownLoopback(), static_cast<unsigned short>(10'000 + next++ % 20'000));
-    tcp::acceptor probe(io);
-    boost::system::error_code taken;
-    probe.open(at.protocol());
-    probe.bind(at, taken);
-    if (!taken) return at;
-  }
-  throw std::runtime_error("no port is free");
-}
-
 std::string textOf(const tcp::endpoint& e) {
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
--- /dev/null
+++ b/tests/rig/forwarders_test.cpp
@@ -0,0 +1,143 @@
+// Several forwarders as processes, a directory and partners among them, and every link between them a relay.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "client.hpp"
+#include "directory.hpp"
+#include "partner.hpp"
+#include "platform.hpp"
+#include "rig.hpp"
+
+namespace quilltide::rig {
+namespace {
+
+using namespace standin;
+
+constexpr int kForwarders = 3;
+
+struct ForwardersTest : testing::Test {
+  ForwardersTest()
+      : directory(io, rig.at("directory", "http")), partner(io, 0, effects, {}, rig.at("partner", "http")) {
+    for (int i = 0; i < kForwarders; ++i) {
+      const std::string name = "f" + std::to_string(i);
+      // Each reaches the partner by its own relay, so each has a list of its own to start from.
+      directory.set({"p0", textOf(rig.from("all", "partner", "http")), 0});
+      const nlohmann::json config = {{"name", name},
+                                     {"listen", "{at:resp}"},
+                                     {"discovery", "{to:directory.http}"},
+                                     {"seed", std::to_string(i)},
+                                     {"limits", {{"sockets", 256}, {"memory_mb", 64}, {"disk_mb", 8}}},
+                                     {"known", directory.list()},
+                                     {"settings", platformSettings({{"statut", "safe", 1, 0.5, 24'000},
+                                                                    {"ordre", "keyed", 2, 0.3, 16'000},
+                                                                    {"paiement", "unsafe", 5, 0.4, 16'000}},
+                                                                   32, 2'000)}};
+      rig.add({name,
+               FORWARDER,
+               {},
+               {{"PROXY_CONFIG", "{folder}/config.json"}, {"PROXY_STATE", "{state}"}},
+               {{"config.json", config.dump()}},
+               false});
+    }
+    rig.startAll();
+    for (int i = 0; i < kForwarders; ++i)
+      EXPECT_TRUE(rig.awaitLine("f" + std::to_string(i), "is ready", milliseconds(10'000)))
+          << rig.timeline().text();
+  }
+
+  std::unique_ptr<Client> clientOf(const std::string& forwarder) {
+    return respClient(io, rig.from("client", forwarder, "resp"), 2);
+  }
+  void hand(Client& client, const std::string& id, const std::string& cls) {
+    Message m;
+    m.id = id;
+    m.cls = cls;
+    if (cls == "ordre") m.key = "key-" + id;
+    m.body = "{}";
+    client.submit(m, [this, id](const Told& told) { answers[id].push_back(told); });
+  }
+  bool taken(const std::string& id) {
+    return answers.contains(id) && answers[id].back().kind == Told::Kind::taken;
+  }
+  bool until(const std::function<bool()>& holds, int ms = 10'000) {
+    return rig.until(holds, milliseconds(ms));
+  }
+
+  boost::asio::io_context io;
+  Rig rig{io};
+  Effects effects;
+  Directory directory;
+  Partner partner;
+  std::map<std::string, std::vector<Told>> answers;
+};
+
+TEST_F(ForwardersTest, KilledInMidCallEachEndsWhatItOwedOnce) {
+  partner.script([](const std::string& id, int attempt) {
+    return id.starts_with("hang") && attempt == 0 ? Does::hang : Does::deliver;
+  });
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < kForwarders; ++i) {
+    clients.push_back(clientOf("f" + std::to_string(i)));
+    hand(*clients.back(), "hang-u" + std::to_string(i), "paiement");
+    hand(*clients.back(), "hang-k" + std::to_string(i), "ordre");
+  }
+  ASSERT_TRUE(until([&] { return effects.all().size() == 2 * kForwarders; })) << rig.timeline().text();
+  for (int i = 0; i < kForwarders; ++i) rig.child("f" + std::to_string(i)).kill();
+  rig.startAll();
+  // The unsafe ones may have run and are given up; the keyed ones go again within their keys' time.
+  EXPECT_TRUE(until([&] { return directory.notices().size() == kForwarders; })) << rig.timeline().text();
+  EXPECT_TRUE(until([&] {
+    for (int i = 0; i < kForwarders; ++i)
+      if (!effects.settled("hang-k" + std::to_string(i))) return false;
+    return true;
+  })) << rig.timeline().text();
+  for (int i = 0; i < kForwarders; ++i) {
+    EXPECT_EQ(effects.of("hang-u" + std::to_string(i)), 1U);
+    EXPECT_EQ(effects.of("hang-k" + std::to_string(i)), 1U);
+    EXPECT_EQ(directory.notices().at("hang-u" + std::to_string(i)).outcome, "given_up");
+  }
+}
+
+TEST_F(ForwardersTest, CutOffFromTheDirectoryOneGoesOnByTheListItHas) {
+  Faults cut;
+  cut.cut = true;
+  rig.link("f0->directory.http").set(Way::toward, cut);
+  rig.link("f0->directory.http").set(Way::back, cut);
+  auto client = clientOf("f0");
+  hand(*client, "m0", "paiement");
+  EXPECT_TRUE(until([&] { return effects.settled("m0"); })) << rig.timeline().text();
+}
+
+TEST_F(ForwardersTest, AnsweredButUnheardAPaiementIsNotSentAgain) {
+  // What the partner says is lost on the way back: it has run, and the forwarder cannot know.
+  partner.script([&](const std::string&, int) {
+    Faults cut;
+    cut.cut = true;
+    rig.link("all->partner.http").set(Way::back, cut);
+    return Does::deliver;
+  });
+  auto client = clientOf("f1");
+  hand(*client, "m0", "paiement");
+  ASSERT_TRUE(until([&] { return effects.of("m0") == 1; }));
+  rig.link("all->partner.http").heal();  // with a reset: it was caught by the cut
+  EXPECT_TRUE(until([&] { return directory.notices().contains("m0"); })) << rig.timeline().text();
+  EXPECT_EQ(directory.notices().at("m0").outcome, "given_up");
+  EXPECT_EQ(effects.of("m0"), 1U);
+}
+
+TEST_F(ForwardersTest, PausedForSecondsOneTakesUpWhereItWas) {
+  auto client = clientOf("f2");
+  hand(*client, "before", "statut");
+  ASSERT_TRUE(until([&] { return effects.settled("before"); }));
+  rig.child("f2").signal(SIGSTOP);
+  hand(*client, "during", "ordre");
+  rig.wait(milliseconds(1'500));
+  EXPECT_EQ(effects.of("during"), 0U);
+  rig.child("f2").signal(SIGCONT);
+  EXPECT_TRUE(until([&] { return effects.settled("during"); })) << rig.timeline().text();
+  EXPECT_EQ(effects.of("during"), 1U);
+}
+
+}  // namespace
+}  // namespace quilltide::rig
