--- /dev/null
+++ b/src/fleet/state/types.hpp
@@ -0,0 +1,149 @@
+// What the keepers are told and what they answer: commands of their log, and results.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace quilltide::fleet {
+
+using Micros = std::int64_t;
+using Index = std::uint64_t;      // of an entry in the keepers' log; 0: none
+using SessionId = std::uint64_t;  // never used again; 0: none
+// Of one grant of a lease. It only grows, over all leases, restarts, snapshots and restores: high half the
+// generation, low half a count. Session ids are drawn from the same count.
+using Token = std::uint64_t;
+
+// A write that counts only while its writer's grant is the one in force.
+struct Fence {
+  std::string lease;
+  Token token = 0;
+  bool operator==(const Fence&) const = default;
+};
+
+// `request` counts up from 1 within a session: the same number again is a repeat of the last one and gets its
+// answer.
+struct OpenSession {
+  std::string name;   // of the member; two sessions may have the same
+  std::string nonce;  // drawn by the member: the same nonce again is a repeat
+  Micros ttl = 0;     // the term of all that the session holds
+};
+struct Renew {
+  std::vector<SessionId> sessions;
+};
+struct CloseSession {
+  SessionId session = 0;
+};
+struct Acquire {
+  SessionId session = 0;
+  std::uint64_t request = 0;
+  std::string lease;
+  bool wait = true;  // stands in line if somebody else has it
+};
+// Gives back, or leaves the line: with token 0 whatever it is.
+struct Release {
+  SessionId session = 0;
+  std::uint64_t request = 0;
+  std::string lease;
+  Token token = 0;
+};
+// Gives it to the newest session of a member, before all that wait.
+struct Transfer {
+  SessionId session = 0;
+  std::uint64_t request = 0;
+  std::string lease;
+  Token token = 0;
+  std::string to;
+};
+struct Put {
+  SessionId session = 0;  // 0: a tool without one; it is repeated by `ifVersion`
+  std::uint64_t request = 0;
+  std::string key;
+  std::optional<std::string> value;        // nothing: removes it
+  std::optional<std::uint64_t> ifVersion;  // 0: only if there is none
+  std::optional<Fence> fence;
+};
+// By the leading keeper's clock (fleet/judge). Each names what was seen, and does nothing if that has
+// changed.
+struct Expire {
+  std::vector<std::pair<SessionId, Index>> sessions;  // with the entry that renewed it last
+};
+struct Recall {  // from here on renewals do not extend it
+  std::string lease;
+  Token token = 0;
+};
+struct ExpireLease {  // of a recalled lease
+  std::string lease;
+  Token token = 0;
+};
+// After a restore from a copy, or a recovery without a majority: tokens and ids go on above this generation,
+// all sessions end, and none is opened until Admit: somebody may hold what this state does not know of.
+struct Raise {
+  std::uint32_t generation = 0;
+};
+struct Admit {  // the longest term has passed since
+  std::uint32_t generation = 0;
+};
+
+using Command = std::variant<OpenSession, Renew, CloseSession, Acquire, Release, Transfer, Put, Expire,
+                             Recall, ExpireLease, Raise, Admit>;
+
+enum class Code {
+  ok,
+  waiting,     // in line
+  busy,        // somebody else has it, and `wait` was not asked for
+  noSession,   // ended, or never was
+  notHolder,   // does not hold it by that token
+  noMember,    // nobody of that name is there
+  staleFence,  // the fence's grant is not in force
+  conflict,    // the value has another version
+  oldRequest,  // a request before the last one
+  barred,      // the state was restored, and terms that it may not know of are waited out
+  full,        // a bound of the state is reached
+  bad          // cannot be read, or makes no sense
+};
+const char* wordOf(Code code);
+
+struct Holding {
+  std::string lease;
+  Token token = 0;
+  bool recalled = false;
+  bool operator==(const Holding&) const = default;
+};
+// What one session was told with its renewal: all that it holds at `Result::index`.
+struct Renewed {
+  SessionId session = 0;
+  bool alive = false;
+  std::vector<Holding> holdings;
+  bool operator==(const Renewed&) const = default;
+};
+
+struct Result {
+  Code code = Code::ok;
+  Index index = 0;            // of the entry that did it; of a repeat: the first one's
+  SessionId session = 0;      // of OpenSession
+  Token token = 0;            // of a grant
+  std::size_t place = 0;      // in line, from 1
+  std::uint64_t version = 0;  // of the value as it is now; 0: none
+  std::vector<Renewed> renewed;
+  std::string why;
+  bool operator==(const Result&) const = default;
+};
+
+// What an entry did, for who keeps clocks or tells watchers.
+struct Effect {
+  enum class Kind { opened, renewed, ended, granted, recalled, freed, lineChanged, value };
+  Kind kind = Kind::opened;
+  SessionId session = 0;  // whose; of `freed` and `lineChanged`: 0
+  std::string name;       // the lease or the key
+  Token token = 0;
+};
+
+// CBOR; decode() throws std::exception on what is no command of this form.
+std::string encode(const Command& command);
+Command decode(const std::string& bytes);
+
+}  // namespace quilltide::fleet
