Keepers: C-Raft on libuv in Asio's loop, an HTTP API, and folders that know an older copy

Need: leases need a state that outlives a process. thistleyoke-keeper replicates src/fleet/state by C-Raft over raft_uv; libuv's loop is turned by Asio's, so that there is one thread. A keeper that starts asks its peers what they last heard of it, and refuses to take part with less.

--- a/src/config/product.cpp
+++ b/src/config/product.cpp
@@ -2,16 +2,9 @@
 #include "config/product.hpp"
 
 #include <algorithm>
-#include <set>
 
 #include "config/platform.hpp"
-
-// toml++ 3.3 asserts on some files that are merely malformed ("[[" and a byte that is no key), where without
-// the assertion it goes on to a proper error, as it does in release builds.
-#ifndef NDEBUG
-#define TOML_ASSERT(expr) static_cast<void>(0)
-#endif
-#include <toml++/toml.h>
+#include "config/section.hpp"
 
 namespace quilltide::net {
 namespace {
@@ -22,76 +15,6 @@
   return out;
 }
 
-// One table of the file. Each key that is asked for is known; finish() reports the others.
-class Section {
- public:
-  Section(const toml::table& table, std::string name, const std::string& path,
-          std::vector<std::string>& errors)
-      : table_(table), name_(std::move(name)), path_(path), errors_(errors) {}
-
-  std::optional<std::string> text(const std::string& key) {
-    const toml::node* node = find(key);
-    if (node == nullptr) return std::nullopt;
-    if (const auto value = node->value_exact<std::string>()) return value;
-    complain(*node, key, "is not a text");
-    return std::nullopt;
-  }
-
-  // A whole number within [least, most]; one that is not leaves `into` as it is.
-  template <typename Number>
-  void whole(const std::string& key, std::int64_t least, std::int64_t most, Number& into) {
-    const toml::node* node = find(key);
-    if (node == nullptr) return;
-    const auto value = node->value_exact<std::int64_t>();
-    if (!value) return complain(*node, key, "is not a whole number");
-    if (*value < least || *value > most) {
-      return complain(*node, key,
-                      "is " + std::to_string(*value) + ", not from " + std::to_string(least) + " to " +
-                          std::to_string(most));
-    }
-    into = static_cast<Number>(*value);
-  }
-
-  std::optional<Section> table(const std::string& key) {
-    const toml::node* node = find(key);
-    if (node == nullptr) return std::nullopt;
-    if (!node->is_table()) {
-      complain(*node, key, "is not a table");
-      return std::nullopt;
-    }
-    return Section(*node->as_table(), full(key), path_, errors_);
-  }
-
-  void finish() {
-    for (const auto& [key, node] : table_) {
-      const std::string name(key.str());
-      if (!known_.contains(name)) complain(node, name, "is not known");
-    }
-  }
-
-  void complain(const std::string& key, const std::string& what) {
-    const toml::node* node = table_.get(key);
-    complain(node != nullptr ? *node : static_cast<const toml::node&>(table_), key, what);
-  }
-
- private:
-  const toml::node* find(const std::string& key) {
-    known_.insert(key);
-    return table_.get(key);
-  }
-  std::string full(const std::string& key) const { return name_.empty() ? key : name_ + "." + key; }
-  void complain(const toml::node& node, const std::string& key, const std::string& what) {
-    const auto line = node.source().begin.line;
-    errors_.push_back(path_ + ":" + std::to_string(line) + ": " + full(key) + ": " + what);
-  }
-
-  const toml::table& table_;
-  std::string name_;
-  const std::string& path_;
-  std::vector<std::string>& errors_;
-  std::set<std::string> known_;
-};
-
 HttpDoorSettings readHttp(Section& section) {
   HttpDoorSettings http;
   if (const auto listen = section.text("listen")) {
--- /dev/null
+++ b/src/fleet/wire/wire.cpp
@@ -0,0 +1,140 @@
+// JSON of commands and results.
+#include "fleet/wire/wire.hpp"
+
+#include <array>
+#include <stdexcept>
+
+namespace quilltide::fleet {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array kCodes{Code::ok,         Code::waiting,  Code::busy,       Code::noSession,
+                            Code::notHolder,  Code::noMember, Code::staleFence, Code::conflict,
+                            Code::oldRequest, Code::barred,   Code::full,       Code::bad};
+
+Code codeOf(const std::string& word) {
+  for (const Code code : kCodes)
+    if (word == wordOf(code)) return code;
+  throw std::runtime_error("no result is called " + word);
+}
+
+std::uint64_t number(const json& body, const char* key, std::uint64_t otherwise = 0) {
+  const auto at = body.find(key);
+  if (at == body.end()) return otherwise;
+  if (!at->is_number_unsigned()) throw std::runtime_error(std::string(key) + " is not a whole number from 0 on");
+  return at->get<std::uint64_t>();
+}
+std::string text(const json& body, const char* key) {
+  const auto at = body.find(key);
+  if (at == body.end()) throw std::runtime_error(std::string(key) + " is missing");
+  if (!at->is_string()) throw std::runtime_error(std::string(key) + " is not a text");
+  return at->get<std::string>();
+}
+
+}  // namespace
+
+Wire wireOf(const Command& command) {
+  if (const auto* c = std::get_if<OpenSession>(&command))
+    return {"/v1/open", {{"name", c->name}, {"nonce", c->nonce}, {"ttl_us", c->ttl}}};
+  if (const auto* c = std::get_if<Renew>(&command)) return {"/v1/renew", {{"session", c->sessions.at(0)}}};
+  if (const auto* c = std::get_if<CloseSession>(&command)) return {"/v1/close", {{"session", c->session}}};
+  if (const auto* c = std::get_if<Acquire>(&command))
+    return {"/v1/acquire",
+            {{"session", c->session}, {"request", c->request}, {"lease", c->lease}, {"wait", c->wait}}};
+  if (const auto* c = std::get_if<Release>(&command))
+    return {"/v1/release",
+            {{"session", c->session}, {"request", c->request}, {"lease", c->lease}, {"token", c->token}}};
+  if (const auto* c = std::get_if<Transfer>(&command))
+    return {"/v1/transfer",
+            {{"session", c->session},
+             {"request", c->request},
+             {"lease", c->lease},
+             {"token", c->token},
+             {"to", c->to}}};
+  if (const auto* c = std::get_if<Put>(&command)) {
+    json body = {{"session", c->session}, {"request", c->request}, {"key", c->key}};
+    body["value"] = c->value ? json(*c->value) : json();
+    if (c->ifVersion) body["if_version"] = *c->ifVersion;
+    if (c->fence) body["fence"] = {{"lease", c->fence->lease}, {"token", c->fence->token}};
+    return {"/v1/put", body};
+  }
+  throw std::runtime_error("only a leading keeper says this");
+}
+
+Command commandOf(const std::string& path, const json& body) {
+  if (!body.is_object()) throw std::runtime_error("the body is no JSON object");
+  const auto session = [&] { return number(body, "session"); };
+  const auto request = [&] {
+    const auto n = number(body, "request");
+    if (n == 0) throw std::runtime_error("request is missing: it counts up from 1");
+    return n;
+  };
+  if (path == "/v1/open")
+    return OpenSession{text(body, "name"), text(body, "nonce"), static_cast<Micros>(number(body, "ttl_us"))};
+  if (path == "/v1/renew") return Renew{{session()}};
+  if (path == "/v1/close") return CloseSession{session()};
+  if (path == "/v1/acquire") {
+    const auto wait = body.find("wait");
+    return Acquire{session(), request(), text(body, "lease"),
+                   wait == body.end() || !wait->is_boolean() || wait->get<bool>()};
+  }
+  if (path == "/v1/release") return Release{session(), request(), text(body, "lease"), number(body, "token")};
+  if (path == "/v1/transfer")
+    return Transfer{session(), request(), text(body, "lease"), number(body, "token"), text(body, "to")};
+  if (path == "/v1/put") {
+    Put p;
+    p.session = session();
+    p.request = p.session == 0 ? 0 : request();
+    p.key = text(body, "key");
+    if (const auto at = body.find("value"); at != body.end() && !at->is_null()) p.value = text(body, "value");
+    if (body.contains("if_version")) p.ifVersion = number(body, "if_version");
+    if (const auto at = body.find("fence"); at != body.end())
+      p.fence = Fence{text(*at, "lease"), number(*at, "token")};
+    return p;
+  }
+  throw std::runtime_error("there is no " + path);
+}
+
+json toJson(const Result& r) {
+  json out = {{"code", wordOf(r.code)}, {"index", r.index}};
+  if (r.session != 0) out["session"] = r.session;
+  if (r.token != 0) out["token"] = r.token;
+  if (r.place != 0) out["place"] = r.place;
+  if (r.version != 0) out["version"] = r.version;
+  if (!r.why.empty()) out["why"] = r.why;
+  if (!r.renewed.empty()) {
+    json all = json::array();
+    for (const Renewed& n : r.renewed) {
+      json holdings = json::array();
+      for (const Holding& h : n.holdings)
+        holdings.push_back({{"lease", h.lease}, {"token", h.token}, {"recalled", h.recalled}});
+      all.push_back({{"session", n.session}, {"alive", n.alive}, {"holdings", std::move(holdings)}});
+    }
+    out["renewed"] = std::move(all);
+  }
+  return out;
+}
+
+Result resultOf(const json& j) {
+  Result r;
+  r.code = codeOf(j.at("code").get<std::string>());
+  r.index = j.at("index").get<Index>();
+  r.session = j.value("session", SessionId{0});
+  r.token = j.value("token", Token{0});
+  r.place = j.value("place", std::size_t{0});
+  r.version = j.value("version", std::uint64_t{0});
+  r.why = j.value("why", std::string());
+  if (const auto all = j.find("renewed"); all != j.end()) {
+    for (const json& n : *all) {
+      Renewed renewed{n.at("session").get<SessionId>(), n.at("alive").get<bool>(), {}};
+      for (const json& h : n.at("holdings"))
+        renewed.holdings.push_back(
+            {h.at("lease").get<std::string>(), h.at("token").get<Token>(), h.at("recalled").get<bool>()});
+      r.renewed.push_back(std::move(renewed));
+    }
+  }
+  return r;
+}
+
+}  // namespace quilltide::fleet
--- /dev/null
+++ b/src/fleet/wire/wire.hpp
@@ -0,0 +1,23 @@
+// Commands and results as members and keepers say them to each other: POST /v1/KIND with a JSON object.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "fleet/state/types.hpp"
+
+namespace quilltide::fleet {
+
+struct Wire {
+  std::string path;
+  nlohmann::json body;
+};
+// Only what a member or a tool may ask for: open, renew, close, acquire, release, transfer, put.
+Wire wireOf(const Command& command);
+// Throws std::runtime_error with one plain line on what is none.
+Command commandOf(const std::string& path, const nlohmann::json& body);
+
+nlohmann::json toJson(const Result& result);
+Result resultOf(const nlohmann::json& json);  // throws std::exception
+
+}  // namespace quilltide::fleet
--- /dev/null
+++ b/src/keeper/http_server.cpp
@@ -0,0 +1,171 @@
+// Connections of a keeper's clients.
+#include "keeper/http_server.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace quilltide::keeper {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::uint64_t kLongestBody = 128 * 1024;
+constexpr std::uint32_t kLongestHead = 8 * 1024;
+constexpr auto kIdle = std::chrono::seconds(75);     // past the longest long poll
+constexpr auto kWrite = std::chrono::seconds(10);
+constexpr auto kNoPlace = std::chrono::milliseconds(50);  // a pause when descriptors run out
+
+std::string unescaped(const std::string& text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned value = 0;
+    if (text[i] == '%' && i + 2 < text.size() && std::sscanf(text.c_str() + i + 1, "%2x", &value) == 1) {
+      out.push_back(static_cast<char>(value));
+      i += 2;
+    } else {
+      out.push_back(text[i] == '+' ? ' ' : text[i]);
+    }
+  }
+  return out;
+}
+
+Request requestOf(const http::request<http::string_body>& from) {
+  Request r;
+  r.method = std::string(from.method_string());
+  const std::string target(from.target());
+  const std::size_t mark = target.find('?');
+  r.path = target.substr(0, mark);
+  r.body = from.body();
+  for (std::size_t at = mark; at != std::string::npos && at < target.size();) {
+    const std::size_t end = std::min(target.find('&', at + 1), target.size());
+    const std::string pair = target.substr(at + 1, end - at - 1);
+    const std::size_t equals = pair.find('=');
+    r.query[unescaped(pair.substr(0, equals))] =
+        equals == std::string::npos ? "" : unescaped(pair.substr(equals + 1));
+    at = end;
+  }
+  return r;
+}
+
+}  // namespace
+
+class HttpServer::Client : public std::enable_shared_from_this<HttpServer::Client> {
+ public:
+  Client(HttpServer& home, tcp::socket socket) : home_(home), alive_(home.alive_), stream_(std::move(socket)) {
+    error_code ignored;
+    stream_.socket().set_option(tcp::no_delay(true), ignored);
+  }
+
+  void read() {
+    parser_.emplace();
+    parser_->body_limit(kLongestBody);
+    parser_->header_limit(kLongestHead);
+    stream_.expires_after(kIdle);
+    http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (!*self->alive_) return;
+      if (error == http::error::body_limit)
+        return self->write({413, {{"error", "the body is too long"}}}, false);
+      if (error == http::error::end_of_stream || error) return self->end();
+      self->handle();
+    });
+  }
+
+  void close() {
+    error_code ignored;
+    stream_.socket().close(ignored);
+  }
+  std::list<std::weak_ptr<Client>>::iterator place;
+
+ private:
+  void handle() {
+    const auto request = parser_->release();
+    const bool keep = request.keep_alive();
+    auto self = shared_from_this();
+    stream_.expires_never();  // a long poll is bounded by its handler
+    home_.handler_(requestOf(request), [self, keep, told = false](const Answer& answer) mutable {
+      if (std::exchange(told, true) || !*self->alive_) return;
+      self->write(answer, keep);
+    });
+  }
+
+  void write(const Answer& answer, bool keep) {
+    response_ = {};
+    response_.version(11);
+    response_.result(static_cast<unsigned>(answer.status));
+    response_.set(http::field::content_type, "application/json");
+    response_.keep_alive(keep);
+    response_.body() = answer.body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    response_.prepare_payload();
+    stream_.expires_after(kWrite);
+    http::async_write(stream_, response_, [self = shared_from_this(), keep](error_code error, std::size_t) {
+      if (!*self->alive_) return;
+      if (error || !keep) return self->end();
+      self->read();
+    });
+  }
+
+  void end() {
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    close();
+    home_.clients_.erase(place);
+  }
+
+  HttpServer& home_;
+  std::shared_ptr<bool> alive_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+};
+
+HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, std::size_t connections, Handler handler)
+    : io_(io), at_(at), most_(connections), handler_(std::move(handler)), acceptor_(io) {}
+
+HttpServer::~HttpServer() { close(); }
+
+void HttpServer::listen() {
+  acceptor_.open(at_.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at_);
+  acceptor_.listen(asio::socket_base::max_listen_connections);
+  accept();
+}
+
+void HttpServer::close() {
+  *alive_ = false;
+  error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& client : clients_)
+    if (const auto open = client.lock()) open->close();
+  clients_.clear();
+}
+
+void HttpServer::accept() {
+  acceptor_.async_accept([this, alive = alive_](error_code error, tcp::socket socket) {
+    if (!*alive || error == asio::error::operation_aborted) return;
+    if (error) {
+      auto pause = std::make_shared<asio::steady_timer>(io_, kNoPlace);
+      pause->async_wait([this, alive, pause](error_code) {
+        if (*alive) accept();
+      });
+      return;
+    }
+    // With every place taken the oldest connection goes: a member opens its own again, a silent one does not.
+    if (clients_.size() >= most_) {
+      const auto oldest = clients_.front().lock();
+      if (oldest) oldest->close();
+    }
+    auto client = std::make_shared<Client>(*this, std::move(socket));
+    client->place = clients_.insert(clients_.end(), client);
+    client->read();
+    accept();
+  });
+}
+
+}  // namespace quilltide::keeper
--- /dev/null
+++ b/src/keeper/keeper.hpp
@@ -0,0 +1,48 @@
+// One keeper put together: its folder, its engine, its HTTP API. Also for a process that keeps for itself.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "keeper/api.hpp"
+#include "keeper/exchange.hpp"
+#include "keeper/folder.hpp"
+#include "keeper/http_server.hpp"
+#include "keeper/node.hpp"
+#include "keeper/settings.hpp"
+
+namespace quilltide::keeper {
+
+class Keeper {
+ public:
+  // Takes the folder; throws FolderError. `failed`: it can go on no more and says why; the process should end.
+  Keeper(boost::asio::io_context& io, const Settings& settings, std::function<void(const std::string&)> failed);
+
+  // Listens, asks its peers, and takes part. Throws if the address is not to be had.
+  void start();
+  void close(std::function<void()> closed);
+  tcp::endpoint address() const { return server_.address(); }
+  const Node* node() const { return node_.get(); }
+
+ private:
+  void begin();
+  void watch();
+
+  boost::asio::io_context& io_;
+  Settings settings_;
+  std::function<void(const std::string&)> failed_;
+  Folder folder_;
+  Api api_;
+  HttpServer server_;
+  Exchange exchange_;
+  std::unique_ptr<Node> node_;
+  boost::asio::steady_timer watch_;
+  bool led_ = false;
+  std::uint64_t toldTerm_ = 0;
+  int looks_ = 0;
+};
+
+}  // namespace quilltide::keeper
--- /dev/null
+++ b/src/keeper/main.cpp
@@ -0,0 +1,116 @@
+// thistleyoke-keeper: one keeper of a fleet. `run` serves until SIGTERM; `check` reads the configuration; `recover`
+// makes a survivor, or a copy of a folder, the only keeper of its fleet.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/App.hpp>
+#include <CLI/Config.hpp>
+#include <CLI/Formatter.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "clock/clock.hpp"
+#include "config/product.hpp"
+#include "keeper/keeper.hpp"
+#include "keeper/recover.hpp"
+
+namespace {
+
+using namespace quilltide;
+
+// 2: what is wrong is in the folder or with the peers, and starting again changes nothing.
+constexpr int kWrongFolder = 2, kFailed = 3;
+constexpr auto kLongestEnd = std::chrono::seconds(3);
+
+void logTo(const std::string& level) {
+  auto logger = spdlog::stderr_logger_st("keeper");
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
+  logger->set_level(spdlog::level::from_str(level == "warn" ? "warning" : level));
+  logger->flush_on(spdlog::level::trace);
+  spdlog::set_default_logger(logger);
+}
+
+int run(const keeper::Settings& settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);  // a full disk is an error to handle, not an end
+  boost::asio::io_context io(1);
+  int status = 0;
+  keeper::Keeper one(io, settings, [&](const std::string& why) {
+    spdlog::error("event=cannot_go_on id={} why=\"{}\"", settings.id, why);
+    status = kFailed;
+    io.stop();
+  });
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  boost::asio::steady_timer latest(io);
+  signals.async_wait([&](boost::system::error_code error, int) {
+    if (error) return;
+    spdlog::info("event=ending id={}", settings.id);
+    latest.expires_after(kLongestEnd);
+    latest.async_wait([&](boost::system::error_code cancelled) {
+      if (!cancelled) io.stop();
+    });
+    one.close([&] { io.stop(); });
+  });
+  one.start();
+  io.run();
+  // What the engine has open goes with the process: its files are whole at any moment.
+  spdlog::info("event=ended id={} status={}", settings.id, status);
+  spdlog::shutdown();
+  std::_Exit(status);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Keeps what a fleet agrees on: its members, its leases, its values.", "thistleyoke-keeper");
+  std::string file;
+  app.add_option("--config", file, "as deploy/keeper.toml")->required();
+  app.require_subcommand(0, 1);
+  app.fallthrough();
+  app.add_subcommand("run", "serve until SIGTERM; also without a subcommand");
+  CLI::App* check = app.add_subcommand("check", "read the configuration, say all that is wrong, and end");
+  CLI::App* recover = app.add_subcommand(
+      "recover", "make this folder the only keeper of its fleet: after a majority was lost for good, or from a copy");
+  std::uint32_t generation = 0;
+  bool yes = false;
+  recover->add_option("--generation", generation,
+                      "tokens go on above this number; by default the seconds since 1970");
+  recover->add_flag("--yes", yes, "all other keepers of the fleet are stopped, and their folders will not come back");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    const keeper::Settings settings = keeper::readSettings(file);
+    if (check->parsed()) {
+      std::cout << "the configuration can be used\nkeeper " << settings.id << " of " << settings.peers.size() + 1
+                << " in fleet '" << settings.fleet << "', HTTP at " << settings.listen << "\ndisk: at most "
+                << keeper::mostDisk(settings) / 1'000'000 << " MB with values and leases at their bounds, "
+                << 3 * settings.segmentBytes / 1'000 << " KB when idle\n";
+      return 0;
+    }
+    if (recover->parsed()) {
+      if (!yes) {
+        std::cerr << "thistleyoke-keeper: with --yes, if all other keepers of '" << settings.fleet
+                  << "' are stopped and will not come back with their folders: two fleets of one name would grant the "
+                     "same leases\n";
+        return 1;
+      }
+      if (generation == 0) generation = static_cast<std::uint32_t>(clocks::wallNow() / 1'000'000);
+      keeper::recover(settings, generation);
+      std::cout << "keeper " << settings.id << " is the only keeper of '" << settings.fleet
+                << "' from its next start on; no session is opened for the longest term, "
+                << settings.bounds.longestTtl / 1'000'000 << " s, after it leads\n";
+      return 0;
+    }
+    logTo(settings.log);
+    return run(settings);
+  } catch (const net::ProductErrors& problems) {
+    for (const std::string& line : problems.lines) std::cerr << "thistleyoke-keeper: " << line << std::endl;
+    return 1;
+  } catch (const keeper::FolderError& problem) {
+    std::cerr << "thistleyoke-keeper: " << problem.what() << std::endl;
+    return kWrongFolder;
+  } catch (const std::exception& problem) {
+    std::cerr << "thistleyoke-keeper: " << problem.what() << std::endl;
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/keeper/settings.cpp
@@ -0,0 +1,117 @@
+// Reads keeper.toml and tells every mistake in it with its place.
+#include "keeper/settings.hpp"
+
+#include <set>
+
+#include "config/platform.hpp"
+#include "config/product.hpp"
+#include "config/section.hpp"
+
+namespace quilltide::keeper {
+namespace {
+
+using net::Section;
+
+tcp::endpoint addressOf(Section& section, const std::string& key, bool needed) {
+  if (const auto text = section.text(key)) {
+    try {
+      return net::parseAddress(*text);
+    } catch (const std::exception& problem) {
+      section.complain(key, problem.what());
+    }
+  } else if (needed) {
+    section.complain(key, "is missing: an address with a port, as in \"127.0.0.1:7401\"");
+  }
+  return {};
+}
+
+// C-Raft takes an IPv4 address and a port as one text, and knows a keeper by it.
+std::string raftAddressOf(Section& section, const std::string& key, bool needed) {
+  const std::string text = section.text(key).value_or("");
+  if (text.empty()) {
+    if (needed) section.complain(key, "is missing: an IPv4 address with a port, as in \"127.0.0.1:7501\"");
+    return text;
+  }
+  try {
+    if (!net::parseAddress(text).address().is_v4()) section.complain(key, "is no IPv4 address");
+  } catch (const std::exception& problem) {
+    section.complain(key, problem.what());
+  }
+  return text;
+}
+
+void readKeeper(Section& section, Settings& s) {
+  section.whole("id", 1, 1'000'000, s.id);
+  s.fleet = section.text("fleet").value_or(s.fleet);
+  s.folder = section.text("folder").value_or("");
+  if (s.folder.empty()) section.complain("folder", "is missing");
+  s.listen = addressOf(section, "listen", true);
+  section.flag("join", s.join);
+  section.whole("election_ms", 50, 60'000, s.electionMs);
+  section.whole("heartbeat_ms", 5, 10'000, s.heartbeatMs);
+  if (s.heartbeatMs * 3 > s.electionMs) section.complain("heartbeat_ms", "is over a third of election_ms");
+  std::size_t kilobytes = s.segmentBytes >> 10;
+  section.whole("segment_kb", 64, 65'536, kilobytes);
+  s.segmentBytes = kilobytes << 10;
+  section.whole("snapshot_entries", 16, 10'000'000, s.snapshotEntries);
+  section.whole("trailing_entries", 16, 10'000'000, s.trailingEntries);
+  section.whole("connections", 8, 100'000, s.connections);
+  section.real("drift", 0, 0.2, s.judge.drift);
+  std::int64_t mostHold = s.judge.mostHold / 1'000;
+  section.whole("most_hold_ms", 0, 86'400'000, mostHold);
+  s.judge.mostHold = mostHold * 1'000;
+  std::int64_t longest = s.bounds.longestTtl / 1'000;
+  section.whole("longest_term_ms", 200, 3'600'000, longest);
+  s.bounds.longestTtl = longest * 1'000;
+  section.whole("sessions", 1, 1'000'000, s.bounds.sessions);
+  section.whole("leases", 1, 1'000'000, s.bounds.leases);
+  section.whole("values", 1, 1'000'000, s.bounds.values);
+  s.log = section.text("log").value_or(s.log);
+  if (!std::set<std::string>{"trace", "debug", "info", "warn", "error"}.contains(s.log))
+    section.complain("log", "is not trace, debug, info, warn or error");
+  for (Section& table : section.tables("peer")) {
+    Peer peer;
+    table.whole("id", 1, 1'000'000, peer.id);
+    if (peer.id == 0) table.complain("id", "is missing");
+    peer.raft = raftAddressOf(table, "raft", true);
+    peer.http = addressOf(table, "http", true);
+    peer.raftVia = raftAddressOf(table, "raft_via", false);
+    peer.httpVia = addressOf(table, "http_via", false);
+    if (peer.raftVia.empty()) peer.raftVia = peer.raft;
+    if (peer.httpVia.port() == 0) peer.httpVia = peer.http;
+    table.finish();
+    s.peers.push_back(peer);
+  }
+  s.raft = raftAddressOf(section, "raft", !s.peers.empty());
+  s.raftBind = raftAddressOf(section, "raft_bind", false);
+  std::set<std::uint64_t> ids{s.id};
+  for (const Peer& peer : s.peers)
+    if (!ids.insert(peer.id).second) section.complain("peer", "two keepers have the id " + std::to_string(peer.id));
+  section.finish();
+}
+
+}  // namespace
+
+Settings parseSettings(const std::string& text, const std::string& path) {
+  std::vector<std::string> errors;
+  Settings settings;
+  try {
+    const toml::table table = toml::parse(text, path);
+    Section root(table, "", path, errors);
+    if (auto keeper = root.table("keeper")) {
+      readKeeper(*keeper, settings);
+    } else {
+      errors.push_back(path + ":1: keeper: is missing");
+    }
+    root.finish();
+  } catch (const toml::parse_error& problem) {
+    errors.push_back(path + ":" + std::to_string(problem.source().begin.line) + ": " +
+                     std::string(problem.description()));
+  }
+  if (!errors.empty()) throw net::ProductErrors(std::move(errors));
+  return settings;
+}
+
+Settings readSettings(const std::string& path) { return parseSettings(net::readFile(path), path); }
+
+}  // namespace quilltide::keeper
