--- /dev/null
+++ b/rig/fleet.hpp
@@ -0,0 +1,76 @@
+// Keepers, members and a witness of their acts, as a rig's processes.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "http_server.hpp"
+#include "rig.hpp"
+
+namespace quilltide::rig {
+
+// Takes acts: POST /act {"lease", "token", "member", "ms"}, answers after `ms`. It keeps the highest token of
+// each lease and refuses older ones (409), as whatever is acted on under a lease has to.
+class Witness {
+ public:
+  struct Act {
+    std::string lease, member;
+    std::uint64_t token = 0;
+    std::int64_t begin = 0, end = 0;  // us of the rig
+  };
+  Witness(boost::asio::io_context& io, Timeline& timeline, const tcp::endpoint& at);
+
+  const std::vector<Act>& acts() const { return acts_; }
+  std::size_t refused() const { return refused_; }
+  std::size_t by(const std::string& member, std::int64_t after = 0) const;
+  std::size_t under(const std::string& lease, std::int64_t after = 0) const;
+  // The first two acts under one lease and different grants that overlap, as a sentence; or "".
+  std::string overlap() const;
+  // The longest time without an act under the lease, from `from` to now; ms.
+  double longestGap(const std::string& lease, std::int64_t from) const;
+
+ private:
+  void take(const std::shared_ptr<standin::HttpServer::Link>& link);
+  Timeline& timeline_;
+  std::vector<Act> acts_;
+  std::map<std::string, std::uint64_t> highest_;
+  std::size_t refused_ = 0;
+  standin::HttpServer server_;
+};
+
+struct KeeperPlan {
+  int count = 3;
+  int electionMs = 300, heartbeatMs = 50, longestTermMs = 2'000, mostHoldMs = 0;
+  double drift = 0.01;
+  int snapshotEntries = 4'096, trailingEntries = 1'024;
+  bool clock = false;
+};
+// "k1", "k2", ...; each reaches each other by links "k1->k2.raft" and "k1->k2.http".
+void addKeepers(Rig& rig, const std::string& program, const KeeperPlan& plan);
+// One more, that is to be added to the fleet; it knows the first `plan.count`.
+void addJoiner(Rig& rig, const std::string& program, const KeeperPlan& plan, int id);
+// The text for --keepers of a process, each by its own link: "NAME->k1.http".
+std::string keepersFor(int count);
+
+struct ActorPlan {
+  std::string name;
+  std::vector<std::string> leases;
+  int termMs = 1'000, actMs = 15, everyMs = 10, giveBackAfter = 0;
+  double drift = 0.01;
+  bool clock = false, hook = false;  // hook: the file "hook" in its folder
+};
+void addActor(Rig& rig, const std::string& program, const ActorPlan& plan, int keepers);
+
+// An HTTP request from the rig itself, straight to a port of a process: its status (0: none) and JSON.
+std::pair<int, nlohmann::json> ask(Rig& rig, const tcp::endpoint& to, const std::string& target,
+                                   const nlohmann::json* body = nullptr,
+                                   milliseconds most = milliseconds(2'000));
+// The keeper that says that it leads, of the highest term; "" if none does.
+std::string leaderOf(Rig& rig, int keepers);
+std::string awaitLeader(Rig& rig, int keepers, milliseconds most = milliseconds(10'000),
+                        const std::string& not_ = "");
+
+}  // namespace quilltide::rig
--- a/rig/rig.cpp
+++ b/rig/rig.cpp
@@ -63,7 +63,8 @@
 
 std::string Rig::fill(const std::string& self, const std::string& text) {
   static const std::regex place(
-      R"(\{(folder|state|at:([A-Za-z0-9_]+)|to:([A-Za-z0-9_-]+)\.([A-Za-z0-9_]+))\})");
+
+      R"(\{(folder|state|at:([A-Za-z0-9_]+)|(to|of):([A-Za-z0-9_-]+)\.([A-Za-z0-9_]+))\})");
   std::string out;
   auto rest = text.begin();
   for (std::sregex_iterator it(text.begin(), text.end(), place), end; it != end; ++it) {
@@ -77,7 +78,7 @@
     } else if ((*it)[2].matched) {
       out += textOf(at(self, (*it)[2]));
     } else {
-      out += textOf(from(self, (*it)[3], (*it)[4]));
+      out += textOf((*it)[3] == "to" ? from(self, (*it)[4], (*it)[5]) : at((*it)[4], (*it)[5]));
     }
   }
   return out.append(rest, text.end());
--- a/rig/rig.hpp
+++ b/rig/rig.hpp
@@ -21,6 +21,7 @@
 //   {to:OTHER.PORT}  the address by which it reaches that port of another process: a relay of its own, the
 //   link
 //                 "SELF->OTHER.PORT"
+//   {of:OTHER.PORT}  the port's own address, for who only speaks of it
 // Processes are added in any order; links are made when texts are filled in, at start().
 // One thread. Nothing outlives the rig: processes are killed with it, its folder is removed unless kept.
 class Rig {
--- a/src/clock/clock.cpp
+++ b/src/clock/clock.cpp
@@ -1,6 +1,8 @@
 // Reads the machine's clocks; in test builds through the file that a rig writes.
 #include "clock/clock.hpp"
 
+#include <time.h>
+
 #include <chrono>
 
 #ifdef QUILLTIDE_TEST_CLOCK
@@ -54,6 +56,16 @@
 }  // namespace
 
 Micros steadyNow() { return shown(realNow<std::chrono::steady_clock>(), &ClockFile::steady); }
+
+Micros bootNow() {
+#ifdef QUILLTIDE_TEST_CLOCK
+  if (clockFile() != nullptr) return steadyNow();
+#endif
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return static_cast<Micros>(now.tv_sec) * 1'000'000 + now.tv_nsec / 1'000;
+}
+
 Micros wallNow() { return shown(realNow<std::chrono::system_clock>(), &ClockFile::wall); }
 
 }  // namespace quilltide::clocks
--- a/src/clock/clock.hpp
+++ b/src/clock/clock.hpp
@@ -9,6 +9,8 @@
 
 // Never steps back; counts from an arbitrary point. Goes on while this process is stopped by a signal.
 Micros steadyNow();
+// The same, and goes on while the machine sleeps: for terms that others count on.
+Micros bootNow();
 // Since 1970; may step either way.
 Micros wallNow();
 
--- a/src/config/section.hpp
+++ b/src/config/section.hpp
@@ -1,4 +1,5 @@
-// One table of a TOML file, read with all mistakes told by file, line and key. Includes toml++: for .cpp files alone.
+// One table of a TOML file, read with all mistakes told by file, line and key. Includes toml++: for .cpp
+// files alone.
 #pragma once
 
 #include <cstdint>
--- a/src/fleet/link/json_call.cpp
+++ b/src/fleet/link/json_call.cpp
@@ -38,29 +38,31 @@
 
   void write() {
     stream->expires_at(until);
-    http::async_write(*stream, request, [self = shared_from_this(), turn = turn](error_code error, std::size_t) {
-      if (turn != self->turn) return;
-      if (error) return self->again();
-      self->read();
-    });
+    http::async_write(*stream, request,
+                      [self = shared_from_this(), turn = turn](error_code error, std::size_t) {
+                        if (turn != self->turn) return;
+                        if (error) return self->again();
+                        self->read();
+                      });
   }
 
   void read() {
     parser.emplace();
     parser->body_limit(kLongestAnswer);
-    http::async_read(*stream, buffer, *parser, [self = shared_from_this(), turn = turn](error_code error, std::size_t) {
-      if (turn != self->turn) return;
-      if (error) return self->again();
-      const auto& answer = self->parser->get();
-      nlohmann::json body = nlohmann::json::parse(answer.body(), nullptr, false);
-      const int status = body.is_discarded() ? 0 : answer.result_int();
-      if (!answer.keep_alive() || status == 0) self->close();
-      self->end(status, std::move(body));
-    });
+    http::async_read(*stream, buffer, *parser,
+                     [self = shared_from_this(), turn = turn](error_code error, std::size_t) {
+                       if (turn != self->turn) return;
+                       if (error) return self->again();
+                       const auto& answer = self->parser->get();
+                       nlohmann::json body = nlohmann::json::parse(answer.body(), nullptr, false);
+                       const int status = body.is_discarded() ? 0 : answer.result_int();
+                       if (!answer.keep_alive() || status == 0) self->close();
+                       self->end(status, std::move(body));
+                     });
   }
 
-  // A kept connection may have been closed by the other side in the meantime: once more, on a new one. What is asked
-  // of keepers may be asked twice.
+  // A kept connection may have been closed by the other side in the meantime: once more, on a new one. What
+  // is asked of keepers may be asked twice.
   void again() {
     close();
     if (!kept || std::chrono::steady_clock::now() >= until) return end(0, {});
--- a/src/fleet/link/json_call.hpp
+++ b/src/fleet/link/json_call.hpp
@@ -1,4 +1,5 @@
-// One HTTP connection for JSON: a request at a time, each with a time of its own, opened again when it is lost.
+// One HTTP connection for JSON: a request at a time, each with a time of its own, opened again when it is
+// lost.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- /dev/null
+++ b/src/fleet/member/member.cpp
@@ -0,0 +1,207 @@
+// Carries a holder's requests to whichever keeper leads.
+#include "fleet/member/member.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <random>
+#include <stdexcept>
+
+#include "clock/clock.hpp"
+#include "fleet/wire/wire.hpp"
+
+namespace quilltide::fleet {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto kLongestLook = milliseconds(100);  // a clock may jump: looked at this often at least
+constexpr auto kPoll = milliseconds(20'000), kPollSlack = milliseconds(3'000), kPollAgain = milliseconds(200);
+
+}  // namespace
+
+std::vector<KeeperAddress> parseKeepers(const std::string& text) {
+  std::vector<KeeperAddress> out;
+  for (std::size_t at = 0; at <= text.size();) {
+    const std::size_t end = std::min(text.find(',', at), text.size());
+    const std::string one = text.substr(at, end - at);
+    const std::size_t equals = one.find('='), colon = one.rfind(':');
+    boost::system::error_code wrong;
+    try {
+      if (equals == std::string::npos || colon == std::string::npos || colon < equals)
+        throw std::invalid_argument(one);
+      const auto address = boost::asio::ip::make_address(one.substr(equals + 1, colon - equals - 1), wrong);
+      const int port = std::stoi(one.substr(colon + 1));
+      const std::uint64_t id = std::stoull(one.substr(0, equals));
+      if (wrong || port <= 0 || port > 65'535 || id == 0) throw std::invalid_argument(one);
+      out.push_back({id, {address, static_cast<unsigned short>(port)}});
+    } catch (const std::logic_error&) {
+      throw std::runtime_error("'" + one + "' is not ID=ADDRESS:PORT of a keeper");
+    }
+    at = end + 1;
+  }
+  return out;
+}
+
+Member::Member(boost::asio::io_context& io, Settings settings, OnEvent onEvent)
+    : io_(io),
+      settings_([&] {
+        if (settings.keepers.empty()) throw std::runtime_error("no keeper is given");
+        std::random_device random;
+        if (settings.holder.nonce.empty())
+          settings.holder.nonce = std::to_string(random()) + "." + std::to_string(random());
+        settings.holder.seed = random();
+        return std::move(settings);
+      }()),
+      onEvent_(std::move(onEvent)),
+      holder_(settings_.holder),
+      renewal_(io),
+      control_(io),
+      listening_(io),
+      timer_(io),
+      listenAgain_(io),
+      current_(settings_.holder.seed % settings_.keepers.size()) {}
+
+Member::~Member() { *alive_ = false; }
+
+void Member::start() { pumpSoon(); }
+
+void Member::want(const std::string& lease) {
+  holder_.want(lease);
+  pumpSoon();
+}
+void Member::giveBack(const std::string& lease) {
+  holder_.giveBack(lease);
+  pumpSoon();
+}
+void Member::transfer(const std::string& lease, const std::string& to) {
+  holder_.transfer(lease, to);
+  pumpSoon();
+}
+
+void Member::put(const std::string& key, const std::optional<std::string>& value,
+                 std::optional<std::uint64_t> ifVersion, const std::string& fence,
+                 std::function<void(const Result&)> then) {
+  const std::uint64_t number = holder_.put(key, value, ifVersion, fence);
+  if (number != 0) {
+    puts_[number] = std::move(then);
+    return pumpSoon();
+  }
+  Result refused;
+  refused.code = Code::staleFence;
+  refused.why = "the lease is not held here";
+  boost::asio::post(io_, [then = std::move(then), refused] { then(refused); });
+}
+
+std::optional<Token> Member::mayAct(const std::string& lease, Micros need) const {
+  return holder_.mayAct(lease, clocks::bootNow(), need);
+}
+
+void Member::close(milliseconds most, std::function<void()> closed) {
+  closed_ = std::move(closed);
+  closeBy_ = std::chrono::steady_clock::now() + most;
+  holder_.close();
+  listening_.cancel();
+  pumpSoon();
+}
+
+// Callbacks may ask for more: never from within a call of theirs.
+void Member::pumpSoon() {
+  if (std::exchange(posted_, true)) return;
+  boost::asio::post(io_, [this, alive = alive_] {
+    if (!*alive) return;
+    posted_ = false;
+    pump();
+  });
+}
+
+void Member::pump() {
+  const Micros now = clocks::bootNow();
+  for (const Holder::Request& request : holder_.send(now))
+    call(std::holds_alternative<Renew>(request.command) ? renewal_ : control_, request);
+  for (const Holder::Event& event : holder_.take(now)) {
+    if (event.kind == Holder::Event::Kind::wrote) {
+      const auto at = puts_.find(event.number);
+      if (at == puts_.end()) continue;
+      const auto then = std::move(at->second);
+      puts_.erase(at);
+      then(event.result);
+    } else {
+      onEvent_(event);
+    }
+  }
+  if (closed_ && (holder_.closed() || std::chrono::steady_clock::now() >= closeBy_)) {
+    timer_.cancel();
+    const auto closed = std::exchange(closed_, nullptr);
+    return closed();
+  }
+  listen();
+  const Micros left = holder_.next(now) - now;
+  timer_.expires_after(std::clamp<std::chrono::microseconds>(std::chrono::microseconds(left),
+                                                             std::chrono::microseconds(100), kLongestLook));
+  timer_.async_wait([this, alive = alive_](boost::system::error_code error) {
+    if (!error && *alive) pump();
+  });
+}
+
+void Member::call(JsonCall& lane, const Holder::Request& request) {
+  lane.cancel();  // what the holder has given up on
+  const Wire wire = wireOf(request.command);
+  const milliseconds within(settings_.holder.answer / 1'000);
+  lane.call(keeper(), wire.path, &wire.body, within,
+            [this, alive = alive_, tag = request.tag](int status, const nlohmann::json& body) {
+              if (*alive) answered(tag, status, body);
+            });
+}
+
+void Member::answered(std::uint64_t tag, int status, const nlohmann::json& body) {
+  try {
+    if (status != 200) throw std::runtime_error("no result");
+    const Result result = resultOf(body);
+    holder_.answered(tag, result, clocks::bootNow());
+  } catch (const std::exception&) {
+    elsewhere(body);
+    holder_.failed(tag, clocks::bootNow());
+  }
+  pump();
+}
+
+void Member::elsewhere(const nlohmann::json& body) {
+  if (body.is_object() && body.contains("leader")) {
+    const auto id = body.at("leader").value("id", std::uint64_t{0});
+    for (std::size_t i = 0; i < settings_.keepers.size(); ++i) {
+      if (settings_.keepers[i].id != id || i == current_) continue;
+      current_ = i;
+      return;
+    }
+  }
+  current_ = (current_ + 1) % settings_.keepers.size();
+}
+
+void Member::listen() {
+  if (!holder_.waits() || listening_.busy() || listenPaused_) return;
+  if (heardOf_ != holder_.session()) heard_ = 0;
+  heardOf_ = holder_.session();
+  const std::string target = "/v1/changes?session=" + std::to_string(heardOf_) +
+                             "&after=" + std::to_string(heard_) + "&wait_ms=" + std::to_string(kPoll.count());
+  listening_.call(keeper(), target, nullptr, kPoll + kPollSlack,
+                  [this, alive = alive_](int status, const nlohmann::json& body) {
+                    if (!*alive) return;
+                    const auto changed =
+                        status == 200 && body.is_object() ? body.value("changed", Index{0}) : 0;
+                    if (status == 200 && (changed > heard_ || !body.value("alive", true))) {
+                      heard_ = changed;
+                      holder_.hint(clocks::bootNow());
+                      return pump();
+                    }
+                    listenPaused_ = true;
+                    listenAgain_.expires_after(kPollAgain);
+                    listenAgain_.async_wait([this, alive](boost::system::error_code error) {
+                      if (error || !*alive) return;
+                      listenPaused_ = false;
+                      listen();
+                    });
+                  });
+}
+
+}  // namespace quilltide::fleet
--- /dev/null
+++ b/src/fleet/member/member.hpp
@@ -0,0 +1,82 @@
+// A process's session with the keepers: the holder's side of leases (fleet/holder) with HTTP, timers and the
+// clock.
+//
+// Read fleet/holder/holder.hpp on what a lease alone cannot do: whatever is done under one has to go through
+// something that knows its token.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/holder/holder.hpp"
+#include "fleet/link/json_call.hpp"
+
+namespace quilltide::fleet {
+
+struct KeeperAddress {
+  std::uint64_t id = 0;
+  tcp::endpoint http;
+};
+// "1=127.0.0.1:7401,2=127.0.0.1:7402"; throws std::runtime_error with one plain line on what is none.
+std::vector<KeeperAddress> parseKeepers(const std::string& text);
+
+// One thread: that of its io_context. Three connections at most: renewals, requests, and a long poll while it
+// waits.
+class Member {
+ public:
+  struct Settings {
+    Holder::Settings holder;  // an empty nonce is drawn
+    std::vector<KeeperAddress> keepers;
+  };
+  using OnEvent = std::function<void(const Holder::Event&)>;
+  Member(boost::asio::io_context& io, Settings settings, OnEvent onEvent);
+  ~Member();
+  Member(const Member&) = delete;
+  Member& operator=(const Member&) = delete;
+
+  void start();
+  void want(const std::string& lease);
+  void giveBack(const std::string& lease);
+  void transfer(const std::string& lease, const std::string& to);
+  // `then` once, with Code::noSession if it was lost on the way: it may have had its effect.
+  void put(const std::string& key, const std::optional<std::string>& value,
+           std::optional<std::uint64_t> ifVersion, const std::string& fence,
+           std::function<void(const Result&)> then);
+  // By the clock now. Ask right before each act, with all that it may take.
+  std::optional<Token> mayAct(const std::string& lease, Micros need = 0) const;
+  // Gives all back; `closed` when the keepers know, or after `most`: then the terms run out.
+  void close(std::chrono::milliseconds most, std::function<void()> closed);
+  const Holder& holder() const { return holder_; }
+
+ private:
+  void pump();
+  void pumpSoon();
+  void call(JsonCall& lane, const Holder::Request& request);
+  void answered(std::uint64_t tag, int status, const nlohmann::json& body);
+  void elsewhere(const nlohmann::json& body);  // the next keeper, or the one that is said to lead
+  void listen();
+  const tcp::endpoint& keeper() const { return settings_.keepers[current_].http; }
+
+  boost::asio::io_context& io_;
+  Settings settings_;
+  OnEvent onEvent_;
+  Holder holder_;
+  JsonCall renewal_, control_, listening_;
+  boost::asio::steady_timer timer_, listenAgain_;
+  std::size_t current_ = 0;
+  Index heard_ = 0;  // change of this session that the last long poll told of
+  SessionId heardOf_ = 0;
+  bool listenPaused_ = false, posted_ = false;
+  std::map<std::uint64_t, std::function<void(const Result&)>> puts_;
+  std::function<void()> closed_;
+  std::chrono::steady_clock::time_point closeBy_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace quilltide::fleet
--- a/src/fleet/wire/wire.cpp
+++ b/src/fleet/wire/wire.cpp
@@ -22,7 +22,8 @@
 std::uint64_t number(const json& body, const char* key, std::uint64_t otherwise = 0) {
   const auto at = body.find(key);
   if (at == body.end()) return otherwise;
-  if (!at->is_number_unsigned()) throw std::runtime_error(std::string(key) + " is not a whole number from 0 on");
+  if (!at->is_number_unsigned())
+    throw std::runtime_error(std::string(key) + " is not a whole number from 0 on");
   return at->get<std::uint64_t>();
 }
 std::string text(const json& body, const char* key) {
--- a/src/keeper/api.cpp
+++ b/src/keeper/api.cpp
@@ -54,7 +54,9 @@
 }
 
 std::string Api::httpOf(std::uint64_t id) const {
-  const auto text = [](const tcp::endpoint& e) { return e.address().to_string() + ":" + std::to_string(e.port()); };
+  const auto text = [](const tcp::endpoint& e) {
+    return e.address().to_string() + ":" + std::to_string(e.port());
+  };
   if (id == settings_.id) return text(settings_.listen);
   for (const Peer& peer : settings_.peers)
     if (peer.id == id) return text(peer.http);
@@ -90,7 +92,8 @@
     // It may have had its effect, or have it yet: the same request again tells.
     respond(wrong(503, "unknown_outcome"));
   };
-  if (const auto* renew = std::get_if<fleet::Renew>(&command)) return node_->renew(renew->sessions.front(), told);
+  if (const auto* renew = std::get_if<fleet::Renew>(&command))
+    return node_->renew(renew->sessions.front(), told);
   node_->propose(command, told);
 }
 
@@ -165,8 +168,9 @@
 void Api::changed(const std::vector<fleet::Effect>& effects) {
   using Kind = fleet::Effect::Kind;
   // Renewals are most of what is applied, and nobody waits for them.
-  const bool news = std::any_of(effects.begin(), effects.end(),
-                                [](const fleet::Effect& e) { return e.kind != Kind::renewed && e.kind != Kind::opened; });
+  const bool news = std::any_of(effects.begin(), effects.end(), [](const fleet::Effect& e) {
+    return e.kind != Kind::renewed && e.kind != Kind::opened;
+  });
   if (!news) return;
   for (auto at = waiters_.begin(); at != waiters_.end();) {
     // A waiter's answer may bring its next question: taken out first.
@@ -196,12 +200,13 @@
 // ---- What there is ----
 
 json Api::status() const {
-  json out = {{"fleet", settings_.fleet},
-              {"id", settings_.id},
-              {"running", node_ != nullptr && node_->running()},
-              {"standing", packed(folder_.own())},
-              {"up_s", std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now() - begin_)
-                           .count()}};
+  json out = {
+      {"fleet", settings_.fleet},
+      {"id", settings_.id},
+      {"running", node_ != nullptr && node_->running()},
+      {"standing", packed(folder_.own())},
+      {"up_s",
+       std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now() - begin_).count()}};
   if (node_ == nullptr || !node_->running()) return out;
   const fleet::State& state = node_->state();
   out["leads"] = node_->leads();
@@ -223,10 +228,10 @@
 }
 
 json Api::members() const {
-  const fleet::Micros now = clocks::steadyNow();
+  const fleet::Micros now = clocks::bootNow();
   json all = json::array();
   for (const auto& [id, s] : node_->state().sessions()) {
-    json one = {{"session", id},         {"name", s.name},       {"term_ms", s.ttl / 1'000},
+    json one = {{"session", id},        {"name", s.name},   {"term_ms", s.ttl / 1'000},
                 {"renewed", s.renewed}, {"holds", s.holds}, {"waits", s.waits}};
     if (const fleet::Micros deadline = node_->judge().deadlineOf(id); deadline != 0)
       one["ends_in_ms"] = (deadline - now) / 1'000;
@@ -259,8 +264,11 @@
 json Api::values(const std::string& prefix) const {
   const fleet::State& state = node_->state();
   json all = json::array();
-  for (auto at = state.values().lower_bound(prefix); at != state.values().end() && at->first.starts_with(prefix); ++at)
-    all.push_back({{"key", at->first}, {"value", at->second.text}, {"version", at->second.version},
+  for (auto at = state.values().lower_bound(prefix);
+       at != state.values().end() && at->first.starts_with(prefix); ++at)
+    all.push_back({{"key", at->first},
+                   {"value", at->second.text},
+                   {"version", at->second.version},
                    {"by", at->second.by}});
   return {{"index", state.applied()}, {"values", std::move(all)}};
 }
--- a/src/keeper/exchange.cpp
+++ b/src/keeper/exchange.cpp
@@ -11,7 +11,8 @@
 constexpr auto kAskEvery = milliseconds(200), kTellEvery = milliseconds(500), kAnswer = milliseconds(1'000);
 
 Standing standingOf(const json& j) {
-  return {j.value("boot", std::uint64_t{0}), j.value("term", std::uint64_t{0}), j.value("applied", std::uint64_t{0})};
+  return {j.value("boot", std::uint64_t{0}), j.value("term", std::uint64_t{0}),
+          j.value("applied", std::uint64_t{0})};
 }
 std::string textOf(const Standing& s) {
   return "start " + std::to_string(s.boot) + ", term " + std::to_string(s.term) + ", entry " +
@@ -24,11 +25,14 @@
                             const Standing* ofMe) {
   const std::string who = "keeper " + std::to_string(peer);
   if (fleet != ownFleet)
-    return who + " belongs to fleet '" + fleet + "', and this one to '" + ownFleet + "': look at the addresses";
+    return who + " belongs to fleet '" + fleet + "', and this one to '" + ownFleet +
+           "': look at the addresses";
   // This start itself may have been told already: to one that then restarted this keeper's exchange.
   if (ofMe != nullptr && (ofMe->boot > own.boot || ofMe->term > own.term || ofMe->applied > own.applied)) {
-    return who + " has heard more of this keeper (" + textOf(*ofMe) + ") than its folder knows (" + textOf(own) +
-           "): the folder is lost or an older copy, and what it voted for is not in it. Replace this keeper: remove "
+    return who + " has heard more of this keeper (" + textOf(*ofMe) + ") than its folder knows (" +
+           textOf(own) +
+           "): the folder is lost or an older copy, and what it voted for is not in it. Replace this keeper: "
+           "remove "
            "its id from the fleet, and add a new one with an empty folder.";
   }
   answered.insert(peer);
@@ -37,7 +41,8 @@
 
 Exchange::Exchange(boost::asio::io_context& io, const Settings& settings, Folder& folder)
     : settings_(settings), folder_(folder), timer_(io) {
-  for (std::size_t i = 0; i < settings_.peers.size(); ++i) calls_.push_back(std::make_unique<fleet::JsonCall>(io));
+  for (std::size_t i = 0; i < settings_.peers.size(); ++i)
+    calls_.push_back(std::make_unique<fleet::JsonCall>(io));
   admission_.peers = settings_.peers.size();
   admission_.fresh = folder.fresh();
   admission_.own = folder.own();
@@ -68,17 +73,18 @@
     const Peer& peer = settings_.peers[i];
     if (admission_.answered.contains(peer.id) || calls_[i]->busy()) continue;
     const json question = {{"fleet", settings_.fleet}, {"id", settings_.id}};
-    calls_[i]->call(peer.httpVia, "/v1/peer", &question, kAnswer, [this, id = peer.id](int status, const json& body) {
-      if (over_ || status != 200 || !body.is_object()) return;
-      const auto known = body.find("of_you");
-      const Standing ofMe = known == body.end() ? Standing{} : standingOf(*known);
-      const std::string why =
-          admission_.hear(id, body.value("fleet", ""), settings_.fleet, known == body.end() ? nullptr : &ofMe);
-      if (!why.empty()) return refuse(why);
-      if (body.value("id", std::uint64_t{0}) != id)
-        refuse("the address of keeper " + std::to_string(id) + " belongs to keeper " +
-               std::to_string(body.value("id", std::uint64_t{0})));
-    });
+    calls_[i]->call(peer.httpVia, "/v1/peer", &question, kAnswer,
+                    [this, id = peer.id](int status, const json& body) {
+                      if (over_ || status != 200 || !body.is_object()) return;
+                      const auto known = body.find("of_you");
+                      const Standing ofMe = known == body.end() ? Standing{} : standingOf(*known);
+                      const std::string why = admission_.hear(id, body.value("fleet", ""), settings_.fleet,
+                                                              known == body.end() ? nullptr : &ofMe);
+                      if (!why.empty()) return refuse(why);
+                      if (body.value("id", std::uint64_t{0}) != id)
+                        refuse("the address of keeper " + std::to_string(id) + " belongs to keeper " +
+                               std::to_string(body.value("id", std::uint64_t{0})));
+                    });
   }
   timer_.expires_after(kAskEvery);
   timer_.async_wait([this](boost::system::error_code error) {
--- a/src/keeper/exchange.hpp
+++ b/src/keeper/exchange.hpp
@@ -1,5 +1,5 @@
-// Keepers tell each other how far each has come, and a keeper that starts asks first: with less than it once told of
-// it does not take part.
+// Keepers tell each other how far each has come, and a keeper that starts asks first: with less than it once
+// told of it does not take part.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -19,13 +19,14 @@
 
 // What a start may go on with, from what peers said. No I/O.
 struct Admission {
-  std::size_t peers = 0;     // there are
-  bool fresh = false;        // the folder is empty: all have to answer, lest a lost folder founds a fleet anew
-  std::uint64_t ownBoot = 0; // of this start
-  Standing own;              // as the folder has it
+  std::size_t peers = 0;  // there are
+  bool fresh = false;     // the folder is empty: all have to answer, lest a lost folder founds a fleet anew
+  std::uint64_t ownBoot = 0;  // of this start
+  Standing own;               // as the folder has it
   std::set<std::uint64_t> answered;
   // Of one peer; `ofMe`: what it knows of this keeper. The reason why it must not start, or "".
-  std::string hear(std::uint64_t peer, const std::string& fleet, const std::string& ownFleet, const Standing* ofMe);
+  std::string hear(std::uint64_t peer, const std::string& fleet, const std::string& ownFleet,
+                   const Standing* ofMe);
   bool enough() const { return answered.size() >= (fresh ? peers : (peers + 1) / 2); }
 };
 
--- a/src/keeper/folder.cpp
+++ b/src/keeper/folder.cpp
@@ -20,7 +20,8 @@
 
 json packed(const Standing& s) { return {{"boot", s.boot}, {"term", s.term}, {"applied", s.applied}}; }
 Standing standingOf(const json& j) {
-  return {j.at("boot").get<std::uint64_t>(), j.at("term").get<std::uint64_t>(), j.at("applied").get<std::uint64_t>()};
+  return {j.at("boot").get<std::uint64_t>(), j.at("term").get<std::uint64_t>(),
+          j.at("applied").get<std::uint64_t>()};
 }
 
 std::optional<json> read(const std::string& path) {
@@ -29,8 +30,9 @@
   try {
     return json::parse(in);
   } catch (const json::exception& problem) {
-    throw FolderError(path + " is damaged: " + problem.what() +
-                      ". Replace this keeper: remove its id from the fleet, and add a new one with an empty folder.");
+    throw FolderError(
+        path + " is damaged: " + problem.what() +
+        ". Replace this keeper: remove its id from the fleet, and add a new one with an empty folder.");
   }
 }
 
@@ -52,16 +54,19 @@
       const auto whose = identity->at("fleet").get<std::string>();
       const auto number = identity->at("id").get<std::uint64_t>();
       if (whose != fleet_ || number != id_)
-        throw FolderError("the folder '" + path_ + "' belongs to keeper " + std::to_string(number) + " of fleet '" +
-                          whose + "', and this is keeper " + std::to_string(id_) + " of '" + fleet_ + "'");
+        throw FolderError("the folder '" + path_ + "' belongs to keeper " + std::to_string(number) +
+                          " of fleet '" + whose + "', and this is keeper " + std::to_string(id_) + " of '" +
+                          fleet_ + "'");
       founded_ = identity->at("founded").get<bool>();
       raise_ = identity->value("raise", 0U);
     } else if (!fs::is_empty(engine_)) {
-      throw FolderError("the folder '" + path_ + "' has an engine's files and no identity.json: it is not whole");
+      throw FolderError("the folder '" + path_ +
+                        "' has an engine's files and no identity.json: it is not whole");
     }
     if (const auto standing = read(path_ + "/standing.json")) {
       own_ = standingOf(standing->at("own"));
-      for (const auto& [key, value] : standing->at("peers").items()) peers_[std::stoull(key)] = standingOf(value);
+      for (const auto& [key, value] : standing->at("peers").items())
+        peers_[std::stoull(key)] = standingOf(value);
     }
   } catch (const json::exception& problem) {
     ::close(lock_);
--- a/src/keeper/folder.hpp
+++ b/src/keeper/folder.hpp
@@ -1,5 +1,6 @@
-// A keeper's folder: whose it is, that only one process has it, and how far this keeper and its peers are known to
-// have come. What is told to others is written first, so that a folder that knows less than they do is an old copy.
+// A keeper's folder: whose it is, that only one process has it, and how far this keeper and its peers are
+// known to have come. What is told to others is written first, so that a folder that knows less than they do
+// is an old copy.
 #pragma once
 
 #include <cstdint>
@@ -25,16 +26,16 @@
 
 class Folder {
  public:
-  // Takes the folder for this process; makes it if there is none. Throws FolderError: of another fleet or keeper, in
-  // use, unreadable.
+  // Takes the folder for this process; makes it if there is none. Throws FolderError: of another fleet or
+  // keeper, in use, unreadable.
   Folder(const std::string& path, const std::string& fleet, std::uint64_t id);
   ~Folder();
   Folder(const Folder&) = delete;
   Folder& operator=(const Folder&) = delete;
 
   const std::string& engine() const { return engine_; }  // the engine's own folder
-  bool fresh() const { return !founded_; }  // never was part of a fleet
-  void founded();                           // from here on it is
+  bool fresh() const { return !founded_; }               // never was part of a fleet
+  void founded();                                        // from here on it is
   // What recover() asks for: state that was restored says so to the fleet when it leads.
   std::uint32_t raise() const { return raise_; }
   void askRaise(std::uint32_t generation);
--- a/src/keeper/http_server.cpp
+++ b/src/keeper/http_server.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint64_t kLongestBody = 128 * 1024;
 constexpr std::uint32_t kLongestHead = 8 * 1024;
-constexpr auto kIdle = std::chrono::seconds(75);     // past the longest long poll
+constexpr auto kIdle = std::chrono::seconds(75);  // past the longest long poll
 constexpr auto kWrite = std::chrono::seconds(10);
 constexpr auto kNoPlace = std::chrono::milliseconds(50);  // a pause when descriptors run out
 
@@ -56,7 +56,8 @@
 
 class HttpServer::Client : public std::enable_shared_from_this<HttpServer::Client> {
  public:
-  Client(HttpServer& home, tcp::socket socket) : home_(home), alive_(home.alive_), stream_(std::move(socket)) {
+  Client(HttpServer& home, tcp::socket socket)
+      : home_(home), alive_(home.alive_), stream_(std::move(socket)) {
     error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
   }
@@ -124,7 +125,8 @@
   http::response<http::string_body> response_;
 };
 
-HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, std::size_t connections, Handler handler)
+HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, std::size_t connections,
+                       Handler handler)
     : io_(io), at_(at), most_(connections), handler_(std::move(handler)), acceptor_(io) {}
 
 HttpServer::~HttpServer() { close(); }
--- a/src/keeper/http_server.hpp
+++ b/src/keeper/http_server.hpp
@@ -14,7 +14,7 @@
 using boost::asio::ip::tcp;
 
 struct Request {
-  std::string method, path;                   // without its query
+  std::string method, path;  // without its query
   std::map<std::string, std::string> query;
   std::string body;
 };
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-Keeper::Keeper(boost::asio::io_context& io, const Settings& settings, std::function<void(const std::string&)> failed)
+Keeper::Keeper(boost::asio::io_context& io, const Settings& settings,
+               std::function<void(const std::string&)> failed)
     : io_(io),
       settings_(settings),
       failed_(std::move(failed)),
@@ -24,8 +25,8 @@
 
 void Keeper::start() {
   server_.listen();
-  spdlog::info("event=started id={} fleet={} boot={} fresh={}", settings_.id, settings_.fleet, folder_.own().boot,
-               folder_.fresh());
+  spdlog::info("event=started id={} fleet={} boot={} fresh={}", settings_.id, settings_.fleet,
+               folder_.own().boot, folder_.fresh());
   exchange_.ask([this] { begin(); }, failed_);
   watch();
 }
@@ -33,7 +34,8 @@
 void Keeper::begin() {
   try {
     node_ = std::make_unique<Node>(
-        io_, settings_, folder_, [this](const std::vector<fleet::Effect>& effects) { api_.changed(effects); }, failed_);
+        io_, settings_, folder_, [this](const std::vector<fleet::Effect>& effects) { api_.changed(effects); },
+        failed_);
     node_->start();
   } catch (const FolderError& problem) {
     return failed_(problem.what());
--- a/src/keeper/keeper.hpp
+++ b/src/keeper/keeper.hpp
@@ -18,8 +18,10 @@
 
 class Keeper {
  public:
-  // Takes the folder; throws FolderError. `failed`: it can go on no more and says why; the process should end.
-  Keeper(boost::asio::io_context& io, const Settings& settings, std::function<void(const std::string&)> failed);
+  // Takes the folder; throws FolderError. `failed`: it can go on no more and says why; the process should
+  // end.
+  Keeper(boost::asio::io_context& io, const Settings& settings,
+         std::function<void(const std::string&)> failed);
 
   // Listens, asks its peers, and takes part. Throws if the address is not to be had.
   void start();
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -1,5 +1,5 @@
-// thistleyoke-keeper: one keeper of a fleet. `run` serves until SIGTERM; `check` reads the configuration; `recover`
-// makes a survivor, or a copy of a folder, the only keeper of its fleet.
+// thistleyoke-keeper: one keeper of a fleet. `run` serves until SIGTERM; `check` reads the configuration;
+// `recover` makes a survivor, or a copy of a folder, the only keeper of its fleet.
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -71,26 +71,30 @@
   app.add_subcommand("run", "serve until SIGTERM; also without a subcommand");
   CLI::App* check = app.add_subcommand("check", "read the configuration, say all that is wrong, and end");
   CLI::App* recover = app.add_subcommand(
-      "recover", "make this folder the only keeper of its fleet: after a majority was lost for good, or from a copy");
+      "recover",
+      "make this folder the only keeper of its fleet: after a majority was lost for good, or from a copy");
   std::uint32_t generation = 0;
   bool yes = false;
   recover->add_option("--generation", generation,
                       "tokens go on above this number; by default the seconds since 1970");
-  recover->add_flag("--yes", yes, "all other keepers of the fleet are stopped, and their folders will not come back");
+  recover->add_flag("--yes", yes,
+                    "all other keepers of the fleet are stopped, and their folders will not come back");
   CLI11_PARSE(app, argc, argv);
   try {
     const keeper::Settings settings = keeper::readSettings(file);
     if (check->parsed()) {
-      std::cout << "the configuration can be used\nkeeper " << settings.id << " of " << settings.peers.size() + 1
-                << " in fleet '" << settings.fleet << "', HTTP at " << settings.listen << "\ndisk: at most "
-                << keeper::mostDisk(settings) / 1'000'000 << " MB with values and leases at their bounds, "
-                << 3 * settings.segmentBytes / 1'000 << " KB when idle\n";
+      std::cout << "the configuration can be used\nkeeper " << settings.id << " of "
+                << settings.peers.size() + 1 << " in fleet '" << settings.fleet << "', HTTP at "
+                << settings.listen << "\ndisk: at most " << keeper::mostDisk(settings) / 1'000'000
+                << " MB with values and leases at their bounds, " << 3 * settings.segmentBytes / 1'000
+                << " KB when idle\n";
       return 0;
     }
     if (recover->parsed()) {
       if (!yes) {
         std::cerr << "thistleyoke-keeper: with --yes, if all other keepers of '" << settings.fleet
-                  << "' are stopped and will not come back with their folders: two fleets of one name would grant the "
+                  << "' are stopped and will not come back with their folders: two fleets of one name would "
+                     "grant the "
                      "same leases\n";
         return 1;
       }
--- a/src/keeper/node.cpp
+++ b/src/keeper/node.cpp
@@ -1,8 +1,12 @@
 // C-Raft wired to the state machine.
 #include "keeper/node.hpp"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <boost/asio/post.hpp>
 #include <cstring>
+#include <optional>
 #include <utility>
 
 #include "clock/clock.hpp"
@@ -14,36 +18,63 @@
 constexpr std::size_t kRenewalsAtOnce = 1'000;
 constexpr unsigned kConnectAgainMs = 200;
 
-raft_buffer bufferOf(const std::string& bytes) {
-  raft_buffer buffer{raft_malloc(bytes.size()), bytes.size()};
-  if (buffer.base != nullptr) std::memcpy(buffer.base, bytes.data(), bytes.size());
+// The engine keeps and sends entries and snapshots in words of 8 bytes, and what is no multiple of them comes
+// back longer or beside its place. So each has its length in front, and a checksum: one that cannot be read
+// must stop a keeper, not let it differ from the others.
+struct Head {
+  std::uint32_t size = 0, sum = 0;
+};
+
+std::uint32_t sumOf(const char* bytes, std::size_t size) {
+  return static_cast<std::uint32_t>(XXH3_64bits(bytes, size));
+}
+
+raft_buffer framed(const std::string& bytes) {
+  const std::size_t whole = (sizeof(Head) + bytes.size() + 7) / 8 * 8;
+  raft_buffer buffer{raft_calloc(1, whole), whole};
+  if (buffer.base == nullptr) return buffer;
+  const Head head{static_cast<std::uint32_t>(bytes.size()), sumOf(bytes.data(), bytes.size())};
+  std::memcpy(buffer.base, &head, sizeof head);
+  std::memcpy(static_cast<char*>(buffer.base) + sizeof head, bytes.data(), bytes.size());
   return buffer;
 }
 
+std::optional<std::string> unframed(const raft_buffer& buffer) {
+  Head head;
+  if (buffer.len < sizeof head) return std::nullopt;
+  std::memcpy(&head, buffer.base, sizeof head);
+  const char* bytes = static_cast<const char*>(buffer.base) + sizeof head;
+  if (head.size > buffer.len - sizeof head || sumOf(bytes, head.size) != head.sum) return std::nullopt;
+  return std::string(bytes, head.size);
+}
+
 const char* roleOf(int role) {
   return role == RAFT_VOTER ? "voter" : role == RAFT_STANDBY ? "standby" : "spare";
 }
 
-std::string addressOf(const Settings& settings) { return settings.raft.empty() ? "127.0.0.1:0" : settings.raft; }
+std::string addressOf(const Settings& settings) {
+  return settings.raft.empty() ? "127.0.0.1:0" : settings.raft;
+}
 
 }  // namespace
 
 // A request to C-Raft and who is to hear of it; deletes itself when it was answered.
 struct Node::Proposal {
-  struct raft_apply request{};
+  struct raft_apply request {};
   Node* node;
   OnResult then;
   static void done(struct raft_apply* request, int status, void* result) {
     const std::unique_ptr<Proposal> self(static_cast<Proposal*>(request->data));
     Fate fate = status == 0 ? Fate::applied : status == RAFT_NOTLEADER ? Fate::notLeader : Fate::unknown;
     // Of one's own entries the result is there when the callback comes.
-    const fleet::Result told = status == 0 && result != nullptr ? *static_cast<fleet::Result*>(result) : fleet::Result{};
+    const fleet::Result told =
+        status == 0 && result != nullptr ? *static_cast<fleet::Result*>(result) : fleet::Result{};
     self->node->due_.push_back([then = std::move(self->then), fate, told] { then(fate, told); });
   }
 };
 
 struct Node::Change {
-  struct raft_change request{};
+  struct raft_change request {};
   Node* node;
   std::function<void(int)> then;
   static void done(struct raft_change* request, int status) {
@@ -71,7 +102,7 @@
 
 void Node::start() {
   if (raft_uv_tcp_init(&transport_, loop_.loop()) != 0) throw FolderError("the engine has no transport");
-  transport_.data = this;
+  transport_.node = this;
   if (!settings_.raftBind.empty()) raft_uv_tcp_set_bind_address(&transport_, settings_.raftBind.c_str());
   if (raft_uv_init(&engine_, loop_.loop(), folder_.engine().c_str(), &transport_) != 0)
     throw FolderError("the engine cannot use '" + folder_.engine() + "': " + engine_.errmsg);
@@ -97,16 +128,17 @@
   raft_set_pre_vote(&raft_, true);
   if (folder_.fresh() && !settings_.join) found();
   if (raft_start(&raft_) != 0)
-    throw FolderError("the engine cannot read '" + folder_.engine() + "': " + problem() +
-                      ". Nothing of it was changed. Replace this keeper: remove its id from the fleet, and add a new "
-                      "one with an empty folder.");
+    throw FolderError(
+        "the engine cannot read '" + folder_.engine() + "': " + problem() +
+        ". Nothing of it was changed. Replace this keeper: remove its id from the fleet, and add a new "
+        "one with an empty folder.");
   running_ = true;
   if (raft_.current_term < folder_.own().term || raft_last_index(&raft_) < folder_.own().applied)
-    throw FolderError("the engine's folder '" + folder_.engine() + "' holds term " +
-                      std::to_string(raft_.current_term) + " and entry " + std::to_string(raft_last_index(&raft_)) +
-                      ", and this keeper had told of term " + std::to_string(folder_.own().term) + " and entry " +
-                      std::to_string(folder_.own().applied) +
-                      ": it is an older copy, or a part of it is lost. Replace this keeper.");
+    throw FolderError(
+        "the engine's folder '" + folder_.engine() + "' holds term " + std::to_string(raft_.current_term) +
+        " and entry " + std::to_string(raft_last_index(&raft_)) + ", and this keeper had told of term " +
+        std::to_string(folder_.own().term) + " and entry " + std::to_string(folder_.own().applied) +
+        ": it is an older copy, or a part of it is lost. Replace this keeper.");
   folder_.founded();
   loop_.turn();
   tick();
@@ -158,13 +190,18 @@
 
 int Node::apply(raft_fsm* fsm, const raft_buffer* buffer, void** result) {
   Node* self = static_cast<Node*>(fsm->data);
+  const auto entry = unframed(*buffer);
+  if (!entry) {
+    self->due_.push_back(
+        [self] { self->failed_("an entry of the log cannot be read: replace this keeper"); });
+    return RAFT_CORRUPT;
+  }
   const std::size_t before = self->effects_.size();
   // Entries of commands are counted by themselves: the same number at every keeper.
-  self->lastResult_ = self->state_.apply(
-      self->state_.applied() + 1, std::string(static_cast<const char*>(buffer->base), buffer->len), &self->effects_);
+  self->lastResult_ = self->state_.apply(self->state_.applied() + 1, *entry, &self->effects_);
   const std::vector<fleet::Effect> own(self->effects_.begin() + static_cast<std::ptrdiff_t>(before),
                                        self->effects_.end());
-  self->judge_.observe(self->state_, own, clocks::steadyNow());
+  self->judge_.observe(self->state_, own, clocks::bootNow());
   *result = &self->lastResult_;
   return 0;
 }
@@ -173,12 +210,7 @@
   Node* self = static_cast<Node*>(fsm->data);
   auto* all = static_cast<raft_buffer*>(raft_malloc(sizeof(raft_buffer)));
   if (all == nullptr) return RAFT_NOMEM;
-  // The engine writes in units of 8 bytes; a length of its own tells what belongs to it.
-  std::string bytes = self->state_.snapshot();
-  const std::uint64_t size = bytes.size();
-  bytes.insert(0, reinterpret_cast<const char*>(&size), sizeof size);
-  bytes.resize((bytes.size() + 7) / 8 * 8);
-  *all = bufferOf(bytes);
+  *all = framed(self->state_.snapshot());
   if (all->base == nullptr) {
     raft_free(all);
     return RAFT_NOMEM;
@@ -191,15 +223,12 @@
 int Node::restore(raft_fsm* fsm, raft_buffer* buffer) {
   Node* self = static_cast<Node*>(fsm->data);
   try {
-    std::uint64_t size = 0;
-    if (buffer->len < sizeof size) throw std::runtime_error("it is too short");
-    std::memcpy(&size, buffer->base, sizeof size);
-    if (size > buffer->len - sizeof size) throw std::runtime_error("it is cut off");
-    self->state_.restore(std::string(static_cast<const char*>(buffer->base) + sizeof size, size));
+    const auto bytes = unframed(*buffer);
+    if (!bytes) throw std::runtime_error("its checksum is wrong");
+    self->state_.restore(*bytes);
   } catch (const std::exception& problem) {
-    self->due_.push_back([self, what = std::string(problem.what())] {
-      self->failed_("a snapshot cannot be used: " + what);
-    });
+    self->due_.push_back(
+        [self, what = std::string(problem.what())] { self->failed_("a snapshot cannot be used: " + what); });
     return RAFT_CORRUPT;
   }
   raft_free(buffer->base);
@@ -211,7 +240,7 @@
 
 int Node::connectVia(raft_uv_transport* transport, raft_uv_connect* request, raft_id id, const char* address,
                      raft_uv_connect_cb then) {
-  Node* self = static_cast<Node*>(transport->data);
+  Node* self = static_cast<Transport*>(transport)->node;
   for (const Peer& peer : self->settings_.peers)
     if (peer.id == id) return self->connect_(transport, request, id, peer.raftVia.c_str(), then);
   return self->connect_(transport, request, id, address, then);
@@ -229,7 +258,7 @@
     }
     if (state == RAFT_LEADER && ledTerm_ != raft_.current_term) {
       ledTerm_ = raft_.current_term;
-      judge_.lead(state_, clocks::steadyNow());
+      judge_.lead(state_, clocks::bootNow());
       raising_ = false;
     } else if (state != RAFT_LEADER && judge_.leads()) {
       judge_.follow();
@@ -249,7 +278,7 @@
   if (closed_ || !running_) return;
   const auto ignore = [](Fate, const fleet::Result&) {};
   if (leads()) {
-    for (const fleet::Command& command : judge_.due(state_, clocks::steadyNow())) propose(command, ignore);
+    for (const fleet::Command& command : judge_.due(state_, clocks::bootNow())) propose(command, ignore);
     if (folder_.raise() != 0 && !raising_) {
       raising_ = true;
       propose(fleet::Raise{folder_.raise()}, [this](Fate fate, const fleet::Result&) {
@@ -266,7 +295,9 @@
 
 // ---- Proposals ----
 
-bool Node::leads() const { return running_ && !closed_ && raft_state(const_cast<raft*>(&raft_)) == RAFT_LEADER; }
+bool Node::leads() const {
+  return running_ && !closed_ && raft_state(const_cast<raft*>(&raft_)) == RAFT_LEADER;
+}
 
 std::optional<std::uint64_t> Node::leader() const {
   if (!running_) return std::nullopt;
@@ -292,7 +323,7 @@
   auto proposal = std::make_unique<Proposal>();
   proposal->node = this;
   proposal->request.data = proposal.get();
-  const raft_buffer buffer = bufferOf(fleet::encode(command));
+  const raft_buffer buffer = framed(fleet::encode(command));
   if (buffer.base == nullptr) return refuse(Fate::notLeader);
   proposal->then = then;
   if (raft_apply(&raft_, &proposal->request, &buffer, 1, Proposal::done) != 0) {
@@ -314,9 +345,9 @@
 
 void Node::flushRenewals() {
   const std::size_t count = std::min(renewals_.size(), kRenewalsAtOnce);
-  std::vector<std::pair<fleet::SessionId, OnResult>> now(std::make_move_iterator(renewals_.begin()),
-                                                         std::make_move_iterator(renewals_.begin() +
-                                                                                 static_cast<std::ptrdiff_t>(count)));
+  std::vector<std::pair<fleet::SessionId, OnResult>> now(
+      std::make_move_iterator(renewals_.begin()),
+      std::make_move_iterator(renewals_.begin() + static_cast<std::ptrdiff_t>(count)));
   renewals_.erase(renewals_.begin(), renewals_.begin() + static_cast<std::ptrdiff_t>(count));
   fleet::Renew renew;
   for (const auto& [session, then] : now) renew.sessions.push_back(session);
@@ -335,7 +366,7 @@
 
 void Node::barrier(std::function<void(Fate)> then) {
   struct Barrier {
-    struct raft_barrier request{};
+    struct raft_barrier request {};
     Node* node;
     std::function<void(Fate)> then;
   };
--- a/src/keeper/node.hpp
+++ b/src/keeper/node.hpp
@@ -1,8 +1,7 @@
-// One keeper's share of the replicated state: C-Raft underneath, the state machine and the leader's clock on top.
+// One keeper's share of the replicated state: C-Raft underneath, the state machine and the leader's clock on
+// top.
 #pragma once
 
-
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -37,16 +36,17 @@
 // One thread. Callbacks come from the loop, never from within a call.
 class Node {
  public:
-  // `changed` is told after every turn in which something was applied, with all effects; `failed` when the engine can
-  // go on no more (its disk fails): the process should end.
+  // `changed` is told after every turn in which something was applied, with all effects; `failed` when the
+  // engine can go on no more (its disk fails): the process should end.
   Node(boost::asio::io_context& io, const Settings& settings, Folder& folder,
-       std::function<void(const std::vector<fleet::Effect>&)> changed, std::function<void(const std::string&)> failed);
+       std::function<void(const std::vector<fleet::Effect>&)> changed,
+       std::function<void(const std::string&)> failed);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
-  // Throws FolderError: damaged, or less than it once had. A fresh folder founds the fleet of all configured keepers,
-  // unless it is to join one.
+  // Throws FolderError: damaged, or less than it once had. A fresh folder founds the fleet of all configured
+  // keepers, unless it is to join one.
   void start();
   // Hands leadership over if it leads, and ends; then `closed`.
   void close(std::function<void()> closed);
@@ -75,8 +75,8 @@
   static int apply(raft_fsm* fsm, const raft_buffer* buffer, void** result);
   static int snapshot(raft_fsm* fsm, raft_buffer** buffers, unsigned* count);
   static int restore(raft_fsm* fsm, raft_buffer* buffer);
-  static int connectVia(raft_uv_transport* transport, raft_uv_connect* request, raft_id id, const char* address,
-                        raft_uv_connect_cb then);
+  static int connectVia(raft_uv_transport* transport, raft_uv_connect* request, raft_id id,
+                        const char* address, raft_uv_connect_cb then);
   void turned();
   void tick();
   void flushRenewals();
@@ -93,7 +93,11 @@
   fleet::Judge judge_;
   UvLoop loop_;
   boost::asio::steady_timer tick_;
-  raft_uv_transport transport_{};
+  // The engine takes the transport's own `data` for itself.
+  struct Transport : raft_uv_transport {
+    Node* node = nullptr;
+  };
+  Transport transport_{};
   int (*connect_)(raft_uv_transport*, raft_uv_connect*, raft_id, const char*, raft_uv_connect_cb) = nullptr;
   raft_io engine_{};
   raft_fsm fsm_{};
--- a/src/keeper/recover.cpp
+++ b/src/keeper/recover.cpp
@@ -1,8 +1,6 @@
 // Rewrites who the keepers are, in a folder that no process uses.
 #include "keeper/recover.hpp"
 
-
-
 #include "keeper/engine.hpp"
 #include "keeper/folder.hpp"
 
@@ -38,7 +36,8 @@
   int status = raft_configuration_add(&alone, settings.id, address.c_str(), RAFT_VOTER);
   if (status == 0) status = raft_recover(&one, &alone);
   raft_configuration_close(&alone);
-  if (status != 0) throw FolderError("the engine cannot take over '" + folder.engine() + "': " + engine.errmsg);
+  if (status != 0)
+    throw FolderError("the engine cannot take over '" + folder.engine() + "': " + engine.errmsg);
   raft_close(&one, [](raft*) {});
   uv_run(&loop, UV_RUN_DEFAULT);
   raft_uv_close(&engine);
@@ -47,7 +46,8 @@
 }
 
 std::size_t mostDisk(const Settings& settings) {
-  const std::size_t state = settings.bounds.allValues + settings.bounds.sessions * 400 + settings.bounds.leases * 300;
+  const std::size_t state =
+      settings.bounds.allValues + settings.bounds.sessions * 400 + settings.bounds.leases * 300;
   const std::size_t entries = (settings.snapshotEntries + settings.trailingEntries) * kUsualEntry;
   return 3 * settings.segmentBytes + entries + 2 * state;
 }
--- a/src/keeper/settings.cpp
+++ b/src/keeper/settings.cpp
@@ -86,7 +86,8 @@
   s.raftBind = raftAddressOf(section, "raft_bind", false);
   std::set<std::uint64_t> ids{s.id};
   for (const Peer& peer : s.peers)
-    if (!ids.insert(peer.id).second) section.complain("peer", "two keepers have the id " + std::to_string(peer.id));
+    if (!ids.insert(peer.id).second)
+      section.complain("peer", "two keepers have the id " + std::to_string(peer.id));
   section.finish();
 }
 
--- a/src/keeper/settings.hpp
+++ b/src/keeper/settings.hpp
@@ -18,7 +18,7 @@
   std::uint64_t id = 0;
   std::string raft;  // the address that all keepers know it by
   tcp::endpoint http;
-  std::string raftVia;    // where this keeper reaches it, if that is elsewhere
+  std::string raftVia;  // where this keeper reaches it, if that is elsewhere
   tcp::endpoint httpVia;
 };
 
--- a/src/keeper/uv_loop.cpp
+++ b/src/keeper/uv_loop.cpp
@@ -47,17 +47,19 @@
 }
 
 void UvLoop::await() {
-  ready_.async_wait(boost::asio::posix::stream_descriptor::wait_read, [this](boost::system::error_code error) {
-    if (error || stopped_) return;
-    turn();
-    if (!stopped_) await();
-  });
+  ready_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                    [this](boost::system::error_code error) {
+                      if (error || stopped_) return;
+                      turn();
+                      if (!stopped_) await();
+                    });
 }
 
 void UvLoop::awaitTimer() {
   const int due = uv_backend_timeout(&loop_);
   auto pause = kLongestPause;
-  if (due >= 0) pause = std::clamp(std::chrono::milliseconds(due), std::chrono::milliseconds(1), kLongestPause);
+  if (due >= 0)
+    pause = std::clamp(std::chrono::milliseconds(due), std::chrono::milliseconds(1), kLongestPause);
   timer_.expires_after(pause);
   timer_.async_wait([this](boost::system::error_code error) {
     if (error || stopped_) return;
--- /dev/null
+++ b/tests/rig/keepers_test.cpp
@@ -0,0 +1,306 @@
+// Keepers as processes: killed, cut off, with folders lost, damaged, older or another's, replaced while they
+// run.
+#include <signal.h>
+
+#include <fstream>
+
+#include "fleet_bed.hpp"
+
+namespace quilltide::rig {
+namespace {
+
+namespace fs = std::filesystem;
+using nlohmann::json;
+
+struct KeepersTest : FleetTest {
+  // A value by a tool; the index that it was written at, 0 if it was not.
+  std::uint64_t put(const std::string& key, const std::string& value) {
+    const std::string to = leader();
+    if (to.empty()) return 0;
+    const auto [status, body] = post(to, "/v1/put", {{"key", key}, {"value", value}});
+    return status == 200 ? body.value("version", std::uint64_t{0}) : 0;
+  }
+  std::string valueAt(const std::string& keeper, const std::string& key, bool local = false) {
+    const auto [status, body] = get(keeper, "/v1/values?prefix=" + key + (local ? "&local" : ""));
+    if (status != 200 || body["values"].empty()) return "";
+    return body["values"][0]["value"];
+  }
+  bool refuses(const std::string& keeper, const std::string& why) {
+    if (!ended(keeper)) return false;
+    return rig.child(keeper).status() && WEXITSTATUS(*rig.child(keeper).status()) != 0 &&
+           rig.timeline().count(keeper, why) > 0;
+  }
+};
+
+TEST_F(KeepersTest, OneServesByItself) {
+  keepers.count = 1;
+  startKeepers();
+  ASSERT_GT(put("a", "1"), 0U);
+  rig.child("k1").kill();
+  rig.start("k1");
+  ASSERT_EQ(leader(), "k1");
+  EXPECT_EQ(valueAt("k1", "a"), "1");
+}
+
+TEST_F(KeepersTest, TheLeaderIsKilledAndNothingIsLost) {
+  startKeepers();
+  ASSERT_GT(put("a", "1"), 0U);
+  const std::string first = leader();
+  rig.child(first).kill();
+  const std::string second = leader(first);
+  ASSERT_NE(second, "");
+  EXPECT_EQ(valueAt(second, "a"), "1");
+  ASSERT_GT(put("a", "2"), 0U);
+  rig.start(first);
+  EXPECT_TRUE(until([&] { return valueAt(first, "a", true) == "2"; }));
+}
+
+TEST_F(KeepersTest, AllKilledAtOnceAndBackWithTheirFolders) {
+  startKeepers();
+  ASSERT_GT(put("a", "1"), 0U);
+  for (Child* k : rig.children("k.")) k->kill();
+  for (int id = 1; id <= 3; ++id) rig.start("k" + std::to_string(id));
+  const std::string back = leader();
+  ASSERT_NE(back, "");
+  EXPECT_EQ(valueAt(back, "a"), "1");
+}
+
+TEST_F(KeepersTest, WithoutAMajorityNothingIsWrittenAndReadsSayWhoCannot) {
+  startKeepers();
+  const std::string first = leader();
+  for (Child* k : rig.children("k."))
+    if (k->name() != first) k->kill();
+  // It notices that it leads nobody.
+  EXPECT_TRUE(until([&] { return leaderOf(rig, 3).empty(); }));
+  EXPECT_EQ(post(first, "/v1/put", {{"key", "a"}, {"value", "1"}}).first, 421);
+  EXPECT_EQ(get(first, "/v1/values?prefix=a").first, 421);
+  EXPECT_EQ(get(first, "/v1/values?prefix=a&local").first, 200);
+}
+
+TEST_F(KeepersTest, ALostFolderIsNotTakenForANewOne) {
+  startKeepers();
+  ASSERT_GT(put("a", "1"), 0U);
+  rig.wait(milliseconds(700));  // each has told how far it came
+  rig.child("k2").kill();
+  rig.child("k2").loseFolder();
+  rig.start("k2");
+  EXPECT_TRUE(refuses("k2", "the folder is lost or an older copy")) << rig.timeline().text();
+  EXPECT_GT(put("a", "2"), 0U);  // the others go on
+}
+
+TEST_F(KeepersTest, AnOlderCopyOfAFolderIsRefused) {
+  startKeepers();
+  rig.child("k2").kill();
+  rig.child("k2").saveFolder("old");
+  rig.start("k2");
+  ASSERT_TRUE(rig.awaitLine("k2", "event=ready", milliseconds(10'000)));
+  for (int i = 0; i < 5; ++i) ASSERT_GT(put("a", std::to_string(i)), 0U);
+  rig.wait(milliseconds(1'200));
+  rig.child("k2").kill();
+  rig.child("k2").rollBack("old");
+  rig.start("k2");
+  EXPECT_TRUE(refuses("k2", "has heard more of this keeper")) << rig.timeline().text();
+  EXPECT_GT(put("a", "x"), 0U);
+}
+
+TEST_F(KeepersTest, AFolderOfAnotherKeeperOrFleetIsRefused) {
+  startKeepers();
+  rig.child("k1").kill();
+  rig.child("k2").kill();
+  fs::remove_all(rig.child("k2").folder() / "state");
+  fs::copy(rig.child("k1").folder() / "state", rig.child("k2").folder() / "state",
+           fs::copy_options::recursive);
+  rig.start("k2");
+  EXPECT_TRUE(refuses("k2", "belongs to keeper 1 of fleet 'rig'")) << rig.timeline().text();
+}
+
+TEST_F(KeepersTest, ADamagedLogIsToldAndLeftAsItIs) {
+  startKeepers();
+  for (int i = 0; i < 30; ++i) ASSERT_GT(put("a", std::string(200, 'x')), 0U);
+  rig.wait(milliseconds(700));
+  rig.child("k3").signal(SIGTERM);  // its open segment is closed
+  ASSERT_TRUE(ended("k3"));
+  fs::path segment;
+  for (const auto& entry : fs::directory_iterator(rig.child("k3").folder() / "state/engine")) {
+    const std::string name = entry.path().filename();
+    if (name.find('-') != std::string::npos && name.find("open") == std::string::npos &&
+        entry.file_size() > 3'000)
+      segment = entry.path();
+  }
+  ASSERT_FALSE(segment.empty());
+  const auto size = fs::file_size(segment);
+  {
+    std::fstream file(segment, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(1'500);
+    file.put('\x7f');
+  }
+  rig.start("k3");
+  EXPECT_TRUE(refuses("k3", "Nothing of it was changed. Replace this keeper")) << rig.timeline().text();
+  EXPECT_EQ(fs::file_size(segment), size);
+  EXPECT_GT(put("a", "y"), 0U);
+}
+
+TEST_F(KeepersTest, AFolderInUseIsRefused) {
+  keepers.count = 1;
+  startKeepers();
+  rig.add(
+      {"second", KEEPER, {"--config", (rig.child("k1").folder() / "keeper.toml").string()}, {}, {}, false});
+  rig.start("second");
+  ASSERT_TRUE(ended("second"));
+  EXPECT_EQ(rig.timeline().count("second", "in use by another process"), 1U);
+}
+
+TEST_F(KeepersTest, OneIsReplacedWhileTheFleetRuns) {
+  startKeepers();
+  ASSERT_GT(put("a", "1"), 0U);
+  rig.child("k3").kill();
+  // The dead one goes, a new one comes, and then another may die.
+  std::string to = leader();
+  EXPECT_EQ(post(to, "/v1/keepers", {{"do", "remove"}, {"id", 3}}).first, 200);
+  addJoiner(rig, KEEPER, keepers, 4);
+  rig.start("k4");
+  ASSERT_TRUE(rig.awaitLine("k4", "event=ready", milliseconds(10'000)));
+  const auto [status, body] = post(to, "/v1/keepers",
+                                   {{"do", "add"},
+                                    {"id", 4},
+                                    {"raft", textOf(rig.at("k4", "raft"))},
+                                    {"http", textOf(rig.at("k4", "http"))}});
+  ASSERT_EQ(status, 200) << body.dump();
+  EXPECT_TRUE(until([&] { return valueAt("k4", "a", true) == "1"; }));
+  rig.child(to == "k1" ? "k2" : "k1").kill();
+  EXPECT_TRUE(until([&] {
+    const std::string now = leaderOf(rig, 4);
+    return !now.empty() && post(now, "/v1/put", {{"key", "a"}, {"value", "2"}}).first == 200;
+  }));
+}
+
+TEST_F(KeepersTest, AMajorityIsLostForGoodAndOneSurvivorGoesOnAlone) {
+  startKeepers();
+  const std::string to = leader();
+  const auto [opened, session] = post(to, "/v1/open", {{"name", "m"}, {"nonce", "n"}, {"ttl_us", 1'000'000}});
+  ASSERT_EQ(opened, 200);
+  const auto [had, before] =
+      post(to, "/v1/acquire", {{"session", session["session"]}, {"request", 1}, {"lease", "l"}});
+  ASSERT_EQ(had, 200);
+  ASSERT_GT(put("a", "1"), 0U);
+  rig.wait(milliseconds(300));
+  for (Child* k : rig.children("k.")) k->kill();
+  // Not without being told that the others are gone.
+  const std::string toml = (rig.child("k1").folder() / "keeper.toml").string();
+  rig.add({"asks", KEEPER, {"--config", toml, "recover"}, {}, {}, false});
+  rig.start("asks");
+  ASSERT_TRUE(ended("asks"));
+  EXPECT_EQ(WEXITSTATUS(*rig.child("asks").status()), 1);
+  // Alone: its configuration names no peers any more.
+  std::ifstream in(toml);
+  std::string text{std::istreambuf_iterator<char>(in), {}};
+  text = text.substr(0, text.find("[[keeper.peer]]"));
+  std::ofstream(rig.folder() / "alone.toml") << text;
+  rig.add({"recover",
+           KEEPER,
+           {"--config", (rig.folder() / "alone.toml").string(), "recover", "--yes"},
+           {},
+           {},
+           false});
+  rig.start("recover");
+  ASSERT_TRUE(ended("recover"));
+  ASSERT_EQ(*rig.child("recover").status(), 0) << rig.timeline().text();
+  rig.add({"alone", KEEPER, {"--config", (rig.folder() / "alone.toml").string()}, {}, {}, false});
+  const auto begin = now();
+  rig.start("alone");
+  ASSERT_TRUE(until([&] { return get("k1", "/v1/status").second.value("leads", false); }));
+  EXPECT_EQ(valueAt("k1", "a"), "1");
+  // Somebody may hold what this folder does not know of: nobody gets in before the longest term is over.
+  json body;
+  ASSERT_TRUE(until([&] {
+    body = post("k1", "/v1/open", {{"name", "m"}, {"nonce", "n2"}, {"ttl_us", 1'000'000}}).second;
+    return body.value("code", "") == "ok";
+  }));
+  EXPECT_GE(now() - begin, 2'000'000);
+  const auto [again, after] =
+      post("k1", "/v1/acquire", {{"session", body["session"]}, {"request", 1}, {"lease", "l"}});
+  ASSERT_EQ(again, 200);
+  EXPECT_GT(after["token"].get<std::uint64_t>(), before["token"].get<std::uint64_t>());
+}
+
+TEST_F(KeepersTest, OneWithAFullDiskEndsAndIsBackWhenThereIsRoom) {
+  startKeepers();
+  const std::string first = leader();
+  const std::string follower = first == "k1" ? "k2" : "k1";
+  rig.child(follower).limitFiles(0);
+  EXPECT_TRUE(ended(follower)) << rig.timeline().text();
+  EXPECT_EQ(rig.child(follower).crashes(), 0U);
+  EXPECT_GT(put("a", "1"), 0U);
+  rig.child(follower).limitFiles(std::nullopt);
+  rig.start(follower);
+  EXPECT_TRUE(until([&] { return valueAt(follower, "a", true) == "1"; })) << rig.timeline().text();
+}
+
+TEST_F(KeepersTest, ARestartFromASnapshotHasAllOfIt) {
+  keepers.snapshotEntries = 32;
+  keepers.trailingEntries = 16;
+  startKeepers();
+  rig.child("k3").kill();
+  for (int i = 0; i < 150; ++i) ASSERT_GT(put("key" + std::to_string(i % 20), std::to_string(i)), 0U);
+  rig.start("k3");
+  // What it missed is no longer in the others' logs: it gets their snapshot.
+  EXPECT_TRUE(until([&] { return valueAt("k3", "key9", true) == "149"; })) << rig.timeline().text();
+  for (Child* k : rig.children("k.")) k->kill();
+  for (int id = 1; id <= 3; ++id) rig.start("k" + std::to_string(id));
+  const std::string back = leader();
+  ASSERT_NE(back, "");
+  EXPECT_EQ(valueAt(back, "key9"), "149");
+  std::size_t files = 0, bytes = 0;
+  for (const auto& entry : fs::directory_iterator(rig.child("k1").folder() / "state/engine")) {
+    ++files;
+    bytes += entry.file_size();
+  }
+  EXPECT_LT(files, 30U);
+  EXPECT_LT(bytes, 2'000'000U);
+}
+
+TEST_F(KeepersTest, TheCommandLineShowsWhatThereIs) {
+  startKeepers();
+  const std::string all = "1=" + textOf(rig.at("k1", "http")) + ",2=" + textOf(rig.at("k2", "http")) +
+                          ",3=" + textOf(rig.at("k3", "http"));
+  rig.add({"hold",
+           FLEET,
+           {"--keepers", all, "hold", "job", "--as", "shell-1", "--term-ms", "1000"},
+           {},
+           {},
+           false});
+  rig.start("hold");
+  ASSERT_TRUE(rig.awaitLine("hold", "event=gained lease=job", milliseconds(10'000))) << rig.timeline().text();
+  rig.add({"leases", FLEET, {"--keepers", all, "leases"}, {}, {}, false});
+  rig.add({"members", FLEET, {"--keepers", all, "members", "--json"}, {}, {}, false});
+  rig.add({"status", FLEET, {"--keepers", all, "status"}, {}, {}, false});
+  for (const char* name : {"leases", "members", "status"}) {
+    rig.start(name);
+    ASSERT_TRUE(ended(name));
+    EXPECT_EQ(*rig.child(name).status(), 0);
+  }
+  EXPECT_EQ(rig.timeline().count("leases", "job +shell-1 +[0-9]+ +held"), 1U);
+  EXPECT_EQ(rig.timeline().count("members", "\"name\": \"shell-1\""), 1U);
+  EXPECT_EQ(rig.timeline().count("status", " leads "), 1U);
+  EXPECT_EQ(rig.timeline().count("status", " follows "), 2U);
+  rig.child("hold").signal(SIGTERM);
+  ASSERT_TRUE(ended("hold"));
+  const auto [status, body] = get(leader(), "/v1/leases");
+  EXPECT_EQ(status, 200);
+  EXPECT_TRUE(body["leases"].empty()) << body.dump();  // given back at once, not run out
+}
+
+TEST_F(KeepersTest, AFileOfNoUseIsToldByLine) {
+  std::ofstream(rig.folder() / "bad.toml")
+      << "[keeper]\nid = 0\nlisten = \"nowhere\"\ncolour = 1\n[[keeper.peer]]\n";
+  rig.add({"check", KEEPER, {"--config", (rig.folder() / "bad.toml").string(), "check"}, {}, {}, false});
+  rig.start("check");
+  ASSERT_TRUE(ended("check"));
+  EXPECT_EQ(WEXITSTATUS(*rig.child("check").status()), 1);
+  for (const char* line : {":2: keeper.id: is 0", ":3: keeper.listen", ":4: keeper.colour: is not known",
+                           "keeper.folder: is missing", "keeper.peer.raft: is missing"})
+    EXPECT_EQ(rig.timeline().count("check", line), 1U) << line << "\n" << rig.timeline().text();
+}
+
+}  // namespace
+}  // namespace quilltide::rig
