Adoption: a folder's owner by epoch, and forwarders that end what one that is gone owed

Need: what a forwarder owes when it is gone for good while its folder lasts. In a fleet ([fleet], off without it) a forwarder takes its folder by a lease, whose token is the folder's epoch. Marks and journals are files named by epoch that are only added. The adopter adds its mark, then reads; the owner writes its attempt, then looks for marks, then calls. The adopter plays the folder with the same engine and no doors, so that it is a restart like any other.

Found on the way: a file of the new epoch that was begun before it was whole would have been taken for all there is by a third one.

--- a/rig/actor.cpp
+++ b/rig/actor.cpp
@@ -6,6 +6,7 @@
 #include <CLI/App.hpp>
 #include <CLI/Config.hpp>
 #include <CLI/Formatter.hpp>
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <iostream>
 #include <map>
@@ -57,6 +58,7 @@
   std::map<std::string, std::unique_ptr<Lane>> lanes;
   for (const std::string& lease : leases) lanes[lease] = std::make_unique<Lane>(io);
   std::function<void(const std::string&)> act, giveBack;
+  bool ending = false;
   Member member(io, settings, [&](const Holder::Event& e) {
     using Kind = Holder::Event::Kind;
     const char* word = e.kind == Kind::gained     ? "gained"
@@ -78,7 +80,7 @@
   };
   act = [&](const std::string& lease) {
     Lane& lane = *lanes.at(lease);
-    if (lane.call.busy()) return;
+    if (lane.call.busy() || ending) return;
     // All that the act may take: past it the call is broken off.
     const milliseconds most(actMs * 3 + 30);
     const auto token = member.mayAct(lease, most.count() * 1'000);
@@ -106,8 +108,19 @@
   for (const std::string& lease : leases) member.want(lease);
   member.start();
   boost::asio::signal_set signals(io, SIGTERM);
+  boost::asio::steady_timer idle(io);
+  std::function<void()> end = [&] {
+    ending = true;
+    const bool acting =
+        std::any_of(lanes.begin(), lanes.end(), [](const auto& l) { return l.second->call.busy(); });
+    if (!acting) return member.close(milliseconds(500), [&] { io.stop(); });
+    idle.expires_after(milliseconds(2));
+    idle.async_wait([&](boost::system::error_code error) {
+      if (!error) end();
+    });
+  };
   signals.async_wait([&](boost::system::error_code error, int) {
-    if (!error) member.close(milliseconds(500), [&] { io.stop(); });
+    if (!error) end();
   });
   std::cout << name << " is ready" << std::endl;
   io.run();
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -10,8 +10,9 @@
 
 }  // namespace
 
-Forwarder::Forwarder(boost::asio::io_context& io, const Config& config, const Product& product)
-    : engine_(io, config, product.keep()),
+Forwarder::Forwarder(boost::asio::io_context& io, const Config& config, const Product& product,
+                     std::unique_ptr<Ownership> owner)
+    : engine_(io, config, product.keep(), std::move(owner)),
       targets_(
           io, config, budgetOf(config, product).targets, [this](const Outcome& o) { engine_.outcome(o); },
           [this](MessageId id) { engine_.late(id); }),
@@ -32,6 +33,8 @@
   resp_.listen();
 }
 
+void Forwarder::startWithoutDoors() { engine_.start(); }
+
 void Forwarder::drain(std::chrono::milliseconds until, std::function<void()> drained) {
   engine_.expectEnd(std::chrono::duration_cast<std::chrono::microseconds>(until).count());
   if (http_) http_->drain();
--- a/src/app/forwarder.hpp
+++ b/src/app/forwarder.hpp
@@ -19,10 +19,13 @@
 
 class Forwarder {
  public:
-  Forwarder(boost::asio::io_context& io, const Config& config, const Product& product = {});
+  Forwarder(boost::asio::io_context& io, const Config& config, const Product& product = {},
+            std::unique_ptr<Ownership> owner = nullptr);
 
   // Recovers what the journal holds, then listens. Throws if an address is not to be had.
   void start();
+  // The same for a folder that was somebody else's: nothing is taken on, what is owed is ended.
+  void startWithoutDoors();
   // SIGTERM: goes on answering, starts no call that cannot end by `until`, then says so.
   void drain(std::chrono::milliseconds until, std::function<void()> drained);
   void moveDiscovery(const tcp::endpoint& address) { discovery_.moveTo(address); }
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 #include <CLI/Config.hpp>
 #include <CLI/Formatter.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -11,6 +12,7 @@
 #include <iostream>
 
 #include "app/forwarder.hpp"
+#include "app/seat.hpp"
 #include "config/platform.hpp"
 #include "config/product.hpp"
 
@@ -18,6 +20,7 @@
 
 using namespace quilltide::net;
 
+constexpr int kNoFolder = 4;                               // its folder is somebody else's
 constexpr auto kDrain = std::chrono::milliseconds(3'600);  // SIGKILL comes 3.7 s after SIGTERM at the soonest
 
 // SIGHUP: discovery may have another address. A file of no use changes nothing.
@@ -55,31 +58,87 @@
   return l;
 }
 
+// What happens to a forwarder from outside, once there is one: with a fleet it waits for its folder first.
+class Running {
+ public:
+  Running(boost::asio::io_context& io, const Loaded& loaded)
+      : io_(io), loaded_(loaded), reload_(io, SIGHUP), signals_(io, SIGTERM, SIGINT) {}
+
+  void start() {
+    awaitReload();  // from here on: one that comes during recovery is kept for the loop
+    signals_.async_wait([this](boost::system::error_code error, int) {
+      if (!error) end();
+    });
+    if (!loaded_.product.fleet) return serve(nullptr);
+    FleetSettings fleet = *loaded_.product.fleet;
+    if (fleet.name.empty()) fleet.name = loaded_.config.name;
+    seat_ = std::make_unique<Seat>(
+        io_, fleet, fleet.name, loaded_.platformFile, loaded_.config.stateFolder,
+        [this](std::uint64_t epoch) { boost::asio::post(io_, [this, epoch] { take(epoch); }); });
+    seat_->start();
+  }
+  int status() const { return status_; }
+
+ private:
+  void take(std::uint64_t epoch) {
+    try {
+      serve(std::make_unique<Ownership>(loaded_.config.stateFolder, epoch));
+    } catch (const std::exception& problem) {
+      std::cerr << "thistleyoke: " << problem.what() << std::endl;
+      leave(kNoFolder);
+    }
+  }
+
+  void serve(std::unique_ptr<Ownership> owner) {
+    forwarder_ = std::make_unique<Forwarder>(io_, loaded_.config, loaded_.product, std::move(owner));
+    forwarder_->engine().onFenced([this] {
+      std::cerr << "somebody else has taken the folder over: this process does nothing more" << std::endl;
+      leave(kNoFolder);
+    });
+    forwarder_->start();
+    std::cerr << loaded_.config.name << " is ready" << std::endl;
+    if (loaded_.product.http) std::cerr << "HTTP door at " << forwarder_->httpAddress() << std::endl;
+  }
+
+  void awaitReload() {
+    reload_.async_wait([this](boost::system::error_code error, int) {
+      if (error) return;
+      if (forwarder_) takeOver(loaded_.platformFile, *forwarder_);
+      awaitReload();
+    });
+  }
+
+  void end() {
+    const auto stop = [this] {
+      if (!seat_) return io_.stop();
+      seat_->close(!forwarder_ || forwarder_->engine().ledger().owesNothing(), [this] { io_.stop(); });
+    };
+    if (!forwarder_) return stop();
+    forwarder_->drain(kDrain, stop);
+  }
+
+  void leave(int status) {
+    status_ = status;
+    io_.stop();
+  }
+
+  boost::asio::io_context& io_;
+  const Loaded& loaded_;
+  boost::asio::signal_set reload_, signals_;
+  std::unique_ptr<Seat> seat_;
+  std::unique_ptr<Forwarder> forwarder_;
+  int status_ = 0;
+};
+
 int run(const std::string& productFile) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);  // a full disk is an error to handle, not an end
   const Loaded loaded = load(productFile);
   boost::asio::io_context io(1);
-  // From here on: one that comes during recovery is kept for the loop.
-  boost::asio::signal_set reload(io, SIGHUP);
-  Forwarder forwarder(io, loaded.config, loaded.product);
-  std::function<void()> awaitReload = [&] {
-    reload.async_wait([&](boost::system::error_code error, int) {
-      if (error) return;
-      takeOver(loaded.platformFile, forwarder);
-      awaitReload();
-    });
-  };
-  awaitReload();
-  forwarder.start();
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](boost::system::error_code error, int) {
-    if (!error) forwarder.drain(kDrain, [&io] { io.stop(); });
-  });
-  std::cerr << loaded.config.name << " is ready" << std::endl;
-  if (loaded.product.http) std::cerr << "HTTP door at " << forwarder.httpAddress() << std::endl;
+  Running running(io, loaded);
+  running.start();
   io.run();
-  return 0;
+  return running.status();
 }
 
 int check(const std::string& productFile) {
@@ -93,6 +152,10 @@
               << " connections, " << budget.http.bytes << " bytes of unfinished requests, final answers for "
               << loaded.product.keep().time / 1'000'000 << " s\n";
   std::cout << "targets: " << budget.targets << " connections\n";
+  if (loaded.product.fleet)
+    std::cout << "fleet: keepers " << loaded.product.fleet->keepers << ", terms of "
+              << loaded.product.fleet->termMs << " ms, "
+              << (loaded.product.fleet->adopt ? "adopts" : "does not adopt") << "\n";
   return 0;
 }
 
--- /dev/null
+++ b/src/app/seat.cpp
@@ -0,0 +1,200 @@
+// Leases of folders, and the folders of others.
+#include "app/seat.hpp"
+
+#include <iostream>
+
+#include "clock/clock.hpp"
+
+namespace quilltide::net {
+
+using nlohmann::json;
+using Event = fleet::Holder::Event;
+
+namespace {
+
+constexpr auto kLook = std::chrono::milliseconds(1'000);  // of who looks after folders without an owner
+constexpr auto kDrive = std::chrono::milliseconds(2);     // how often an adopted folder has its turn
+constexpr auto kClose = std::chrono::milliseconds(1'000);
+
+std::string registration(const std::string& config, const std::string& state) {
+  return json{{"config", config}, {"state", state}}.dump();
+}
+
+}  // namespace
+
+// Somebody else's folder, played to its end beside this forwarder: the same engine on a loop of its own, no
+// doors.
+struct Seat::Adopted {
+  Adopted(const Config& config, const std::string& folder, std::uint64_t epoch)
+      : io(std::make_unique<boost::asio::io_context>(1)),
+        forwarder(std::make_unique<Forwarder>(*io, config, Product{},
+                                              std::make_unique<Ownership>(folder, epoch))) {}
+  ~Adopted() { forwarder.reset(); }
+  std::unique_ptr<boost::asio::io_context> io;
+  std::unique_ptr<Forwarder> forwarder;
+  std::unique_ptr<boost::asio::steady_timer> turn;
+  bool fenced = false;
+};
+
+Seat::Seat(boost::asio::io_context& io, const FleetSettings& settings, std::string name,
+           std::string configFile, std::string stateFolder, std::function<void(std::uint64_t)> taken)
+    : io_(io),
+      settings_(settings),
+      name_(std::move(name)),
+      configFile_(std::move(configFile)),
+      stateFolder_(std::move(stateFolder)),
+      taken_(std::move(taken)),
+      member_(
+          io,
+          [&] {
+            fleet::Member::Settings s;
+            s.holder.name = name_;
+            s.holder.ttl = settings.termMs * 1'000;
+            s.holder.drift = settings.drift;
+            s.holder.answer = std::min<fleet::Micros>(s.holder.answer, s.holder.ttl / 4);
+            s.keepers = fleet::parseKeepers(settings.keepers);
+            return s;
+          }(),
+          [this](const Event& e) { event(e); }),
+      adoption_({name_, settings.goneAfterMs * 1'000, settings.adoptAtOnce}),
+      look_(io) {}
+
+Seat::~Seat() { *alive_ = false; }
+
+void Seat::start() {
+  std::cerr << "fleet: waits for its folder, lease " << fleet::folderLease(name_) << std::endl;
+  member_.want(fleet::folderLease(name_));
+  member_.start();
+}
+
+void Seat::event(const Event& e) {
+  if (closing_) return;
+  if (e.kind == Event::Kind::lost) {
+    if (e.lease == fleet::kAdoptionLease) {
+      looks_ = false;
+      adoption_.rest();
+    } else {
+      // The folder stays this one's until somebody marks it; an adopted one too.
+      std::cerr << "fleet: lost " << e.lease << ", goes on until somebody takes the folder" << std::endl;
+    }
+    return;
+  }
+  if (e.kind != Event::Kind::gained) return;
+  if (e.lease == fleet::kAdoptionLease) {
+    std::cerr << "fleet: looks after folders without an owner, token " << e.token << std::endl;
+    looks_ = true;
+    return lookSoon();
+  }
+  if (e.lease == fleet::folderLease(name_)) {
+    if (!taken_) return;  // had it before: its epoch holds
+    std::cerr << "fleet: has its folder, epoch " << e.token << std::endl;
+    member_.put(fleet::kFolderValues + name_, registration(configFile_, stateFolder_), {}, e.lease,
+                [](const fleet::Result&) {});
+    std::exchange(taken_, nullptr)(e.token);
+    if (settings_.adopt) member_.want(fleet::kAdoptionLease);
+    return;
+  }
+  const std::string prefix = fleet::folderLease("");
+  if (e.lease.starts_with(prefix)) adopt(e.lease.substr(prefix.size()), e.token);
+}
+
+// ---- Folders without an owner ----
+
+void Seat::lookSoon() {
+  look_.expires_after(kLook);
+  look_.async_wait([this, alive = alive_](boost::system::error_code error) {
+    if (!error && *alive && looks_ && !closing_) look();
+  });
+}
+
+void Seat::look() {
+  member_.read("/v1/values?prefix=" + fleet::kFolderValues, [this](int status, const json& values) {
+    if (status != 200) return lookSoon();
+    member_.read("/v1/leases", [this, values](int read, const json& leases) {
+      if (read == 200 && looks_ && !closing_) lookAt(values, leases);
+      lookSoon();
+    });
+  });
+}
+
+void Seat::lookAt(const json& values, const json& leases) {
+  std::set<std::string> registered, held;
+  registered_.clear();
+  for (const json& v : values.at("values")) {
+    const std::string name = v.at("key").get<std::string>().substr(fleet::kFolderValues.size());
+    registered.insert(name);
+    registered_[name] = v.at("value").get<std::string>();
+  }
+  const std::string prefix = fleet::folderLease("");
+  for (const json& l : leases.at("leases")) {
+    const std::string lease = l.at("lease").get<std::string>();
+    if (lease.starts_with(prefix)) held.insert(lease.substr(prefix.size()));
+  }
+  for (const std::string& name : adoption_.look(registered, held, clocks::bootNow())) {
+    std::cerr << "fleet: " << name << " is gone, claims its folder" << std::endl;
+    member_.want(fleet::folderLease(name));
+  }
+}
+
+void Seat::adopt(const std::string& name, std::uint64_t epoch) {
+  if (adopted_.contains(name) || !adoption_.adopting().contains(name)) return;
+  try {
+    const json where = json::parse(registered_.at(name));
+    const std::string state = where.at("state").get<std::string>();
+    const Config config = readConfig(where.at("config").get<std::string>(), state);
+    auto one = std::make_unique<Adopted>(config, state, epoch);
+    one->forwarder->engine().onFenced([a = one.get()] { a->fenced = true; });
+    one->turn = std::make_unique<boost::asio::steady_timer>(io_);
+    std::cerr << "fleet: adopts " << name << " by epoch " << epoch << std::endl;
+    one->forwarder->startWithoutDoors();
+    adopted_[name] = std::move(one);
+    drive(name);
+  } catch (const std::exception& problem) {
+    std::cerr << "fleet: cannot adopt " << name << ": " << problem.what() << std::endl;
+    finish(name, false);
+  }
+}
+
+void Seat::drive(const std::string& name) {
+  Adopted& one = *adopted_.at(name);
+  one.io->restart();
+  one.io->poll();
+  if (one.fenced) {
+    std::cerr << "fleet: somebody else has the folder of " << name << std::endl;
+    return finish(name, false);
+  }
+  if (one.forwarder->engine().ledger().owesNothing()) {
+    std::cerr << "fleet: all that " << name << " owed has ended" << std::endl;
+    return finish(name, true);
+  }
+  one.turn->expires_after(kDrive);
+  one.turn->async_wait([this, alive = alive_, name](boost::system::error_code error) {
+    if (!error && *alive) drive(name);
+  });
+}
+
+void Seat::finish(const std::string& name, bool done) {
+  // Not from within its own timer's wait: that has been told by now.
+  adopted_.erase(name);
+  const std::string lease = fleet::folderLease(name);
+  const auto leave = [this, name, lease] {
+    member_.giveBack(lease);
+    adoption_.finished(name);
+  };
+  if (!done) return leave();
+  // Nobody need look into it any more; a forwarder that comes back with it registers anew.
+  member_.put(fleet::kFolderValues + name, std::nullopt, {}, lease,
+              [leave](const fleet::Result&) { leave(); });
+}
+
+void Seat::close(bool empty, std::function<void()> closed) {
+  closing_ = true;
+  look_.cancel();
+  adopted_.clear();
+  const auto end = [this, closed = std::move(closed)] { member_.close(kClose, closed); };
+  if (!empty) return end();
+  member_.put(fleet::kFolderValues + name_, std::nullopt, {}, fleet::folderLease(name_),
+              [end](const fleet::Result&) { end(); });
+}
+
+}  // namespace quilltide::net
--- a/src/config/product.cpp
+++ b/src/config/product.cpp
@@ -50,6 +50,21 @@
   return http;
 }
 
+FleetSettings readFleet(Section& section) {
+  FleetSettings fleet;
+  fleet.keepers = section.text("keepers").value_or("");
+  if (fleet.keepers.empty())
+    section.complain("keepers", "is missing: ID=ADDRESS:PORT of each keeper, with commas");
+  fleet.name = section.text("name").value_or("");
+  section.whole("term_ms", 200, 3'600'000, fleet.termMs);
+  section.real("drift", 0, 0.2, fleet.drift);
+  section.flag("adopt", fleet.adopt);
+  section.whole("gone_after_ms", 0, 86'400'000, fleet.goneAfterMs);
+  section.whole("adopt_at_once", 1, 100, fleet.adoptAtOnce);
+  section.finish();
+  return fleet;
+}
+
 }  // namespace
 
 ProductErrors::ProductErrors(std::vector<std::string> given)
@@ -70,6 +85,7 @@
       if (auto http = doors->table("http")) product.http = readHttp(*http);
       doors->finish();
     }
+    if (auto fleet = root.table("fleet")) product.fleet = readFleet(*fleet);
     root.finish();
   } catch (const toml::parse_error& problem) {
     errors.push_back(path + ":" + std::to_string(problem.source().begin.line) + ": " +
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -38,12 +38,13 @@
 
 }  // namespace
 
-Engine::Engine(boost::asio::io_context& io, const Config& config, const Keep& keep)
+Engine::Engine(boost::asio::io_context& io, const Config& config, const Keep& keep,
+               std::unique_ptr<Ownership> owner)
     : io_(io),
       settings_(config.settings),
       names_(config.names),
       known_(config.known),
-      journal_(config.stateFolder, config.diskBytes, keep),
+      journal_(config.stateFolder, config.diskBytes, keep, std::move(owner)),
       sender_(config.settings, config.seed),
       tick_(io) {
   for (const ClassSettings& c : settings_.classes) keepDestination_ = std::max(keepDestination_, c.deadline);
@@ -208,7 +209,10 @@
 
 bool Engine::commit() {
   commitPosted_ = false;
-  if (!journal_.commit()) return false;
+  if (!journal_.commit()) {
+    if (journal_.fenced() && fenced_) boost::asio::post(io_, std::exchange(fenced_, nullptr));
+    return false;
+  }
   // A subscriber may hand in more, and that changes the ledger: each step starts from the position alone.
   while (const Answered* next = journal_.answerAfter(toldPosition_)) {
     toldPosition_ = next->position;
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -32,7 +32,8 @@
   using OnEnd = std::function<void(const Answered&)>;
 
   // Opens the journal in config.stateFolder; throws std::runtime_error if that is of no use.
-  Engine(boost::asio::io_context& io, const Config& config, const Keep& keep = {});
+  Engine(boost::asio::io_context& io, const Config& config, const Keep& keep = {},
+         std::unique_ptr<Ownership> owner = nullptr);
   void attach(Carrier& carrier, DirectoryLink& directory);
   // Recovers what the journal holds and plays the first round.
   void start();
@@ -41,6 +42,8 @@
   void submit(Submission message, OnReply reply);
   Status status(const std::string& id) const;
   // Final answers are told in the order of their positions, each once and only when it is on disk.
+  // Somebody else has taken the folder over: told once; nothing is called, told or taken on any more.
+  void onFenced(std::function<void()> fenced) { fenced_ = std::move(fenced); }
   void subscribe(OnEnd end) { subscribers_.push_back(std::move(end)); }
   const Journal& ledger() const { return journal_; }
   const Names& names() const { return names_; }
@@ -92,6 +95,7 @@
   Carrier* carrier_ = nullptr;
   DirectoryLink* directory_ = nullptr;
   std::vector<OnEnd> subscribers_;
+  std::function<void()> fenced_;
 
   boost::asio::steady_timer tick_;
   Micros tickAt_ = 0;  // 0: none set
--- a/src/fleet/holder/holder.hpp
+++ b/src/fleet/holder/holder.hpp
@@ -44,7 +44,7 @@
   // no write (0).
   std::uint64_t put(const std::string& key, const std::optional<std::string>& value,
                     std::optional<std::uint64_t> ifVersion = {}, const std::string& fence = "");
-  void close();  // gives all back; nothing is asked for after that
+  void close();  // gives all back likewise; nothing is asked for after that
 
   // ---- What it may do ----
   // The grant's token, if it holds for `need` more from `now`.
--- a/src/fleet/member/member.cpp
+++ b/src/fleet/member/member.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr auto kLongestLook = milliseconds(100);  // a clock may jump: looked at this often at least
+constexpr int kReadTries = 6;
 constexpr auto kPoll = milliseconds(20'000), kPollSlack = milliseconds(3'000), kPollAgain = milliseconds(200);
 
 }  // namespace
@@ -58,6 +59,7 @@
       renewal_(io),
       control_(io),
       listening_(io),
+      reading_(io),
       timer_(io),
       listenAgain_(io),
       current_(settings_.holder.seed % settings_.keepers.size()) {}
@@ -178,6 +180,28 @@
   current_ = (current_ + 1) % settings_.keepers.size();
 }
 
+void Member::read(const std::string& target, JsonCall::Then then) {
+  reads_.push_back({target, std::move(then), 0});
+  readNext();
+}
+
+void Member::readNext() {
+  if (reads_.empty() || reading_.busy()) return;
+  ++reads_.front().tries;
+  const milliseconds within(settings_.holder.answer / 1'000);
+  reading_.call(keeper(), reads_.front().target, nullptr, within,
+                [this, alive = alive_](int status, const nlohmann::json& body) {
+                  if (!*alive) return;
+                  if (status != 200) elsewhere(body);
+                  if (status == 200 || reads_.front().tries >= kReadTries) {
+                    const auto then = std::move(reads_.front().then);
+                    reads_.pop_front();
+                    then(status, body);
+                  }
+                  if (*alive) readNext();
+                });
+}
+
 void Member::listen() {
   if (!holder_.waits() || listening_.busy() || listenPaused_) return;
   if (heardOf_ != holder_.session()) heard_ = 0;
--- a/src/fleet/member/member.hpp
+++ b/src/fleet/member/member.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -48,9 +49,12 @@
   void put(const std::string& key, const std::optional<std::string>& value,
            std::optional<std::uint64_t> ifVersion, const std::string& fence,
            std::function<void(const Result&)> then);
+  // GET of what the leading keeper knows; `then` once, with status 0 if none answered in a few tries.
+  void read(const std::string& target, JsonCall::Then then);
   // By the clock now. Ask right before each act, with all that it may take.
   std::optional<Token> mayAct(const std::string& lease, Micros need = 0) const;
-  // Gives all back; `closed` when the keepers know, or after `most`: then the terms run out.
+  // Gives all back, so nothing may be under way that needs it; `closed` when the keepers know, or after
+  // `most`: then the terms run out.
   void close(std::chrono::milliseconds most, std::function<void()> closed);
   const Holder& holder() const { return holder_; }
 
@@ -61,18 +65,25 @@
   void answered(std::uint64_t tag, int status, const nlohmann::json& body);
   void elsewhere(const nlohmann::json& body);  // the next keeper, or the one that is said to lead
   void listen();
+  void readNext();
   const tcp::endpoint& keeper() const { return settings_.keepers[current_].http; }
 
   boost::asio::io_context& io_;
   Settings settings_;
   OnEvent onEvent_;
   Holder holder_;
-  JsonCall renewal_, control_, listening_;
+  JsonCall renewal_, control_, listening_, reading_;
   boost::asio::steady_timer timer_, listenAgain_;
   std::size_t current_ = 0;
   Index heard_ = 0;  // change of this session that the last long poll told of
   SessionId heardOf_ = 0;
   bool listenPaused_ = false, posted_ = false;
+  struct Reading {
+    std::string target;
+    JsonCall::Then then;
+    int tries = 0;
+  };
+  std::deque<Reading> reads_;
   std::map<std::uint64_t, std::function<void(const Result&)>> puts_;
   std::function<void()> closed_;
   std::chrono::steady_clock::time_point closeBy_;
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -113,12 +113,31 @@
   return {hash.low64, hash.high64};
 }
 
-Journal::Journal(const std::string& folder, std::size_t diskBytes, const Keep& keep)
-    : path_(folder + "/journal"), diskBytes_(diskBytes - std::min(diskBytes, 2 * kBlock)), keep_(keep) {
+Journal::Journal(const std::string& folder, std::size_t diskBytes, const Keep& keep,
+                 std::unique_ptr<Ownership> owner)
+    : owner_(std::move(owner)),
+      path_(owner_ ? owner_->journal() : folder + "/journal"),
+      diskBytes_(diskBytes - std::min(diskBytes, 2 * kBlock)),
+      keep_(keep) {
+  if (!owner_ && Ownership::marked(folder))
+    throw std::runtime_error("the folder '" + folder + "' belongs to a fleet: start with its [fleet]");
+  std::string before;
+  if (owner_) {
+    owner_->take();
+    if (::access(path_.c_str(), F_OK) != 0) before = owner_->before();
+  }
   ::unlink((path_ + ".new").c_str());  // a compaction that did not get as far as its rename
-  file_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_APPEND, 0644);
-  if (file_ < 0) throw std::runtime_error("cannot open '" + path_ + "': " + std::strerror(errno));
-  replay();
+  if (before.empty()) {
+    file_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_APPEND, 0644);
+    if (file_ < 0) throw std::runtime_error("cannot open '" + path_ + "': " + std::strerror(errno));
+    replay(path_, true);
+  } else {
+    // What the one before wrote is only read: it may still have the file open. This epoch's own file appears
+    // whole, by a rename: one that was begun and is empty would be taken for all there is.
+    replay(before, false);
+    if (!compact()) throw std::runtime_error("cannot take over '" + before + "' into '" + path_ + "'");
+  }
+  if (owner_) owner_->tidy();
   if (!keep_.any() || epoch_ != 0) return;
   std::random_device random;
   while (epoch_ == 0) epoch_ = random();
@@ -129,8 +148,8 @@
   if (file_ >= 0) ::close(file_);
 }
 
-void Journal::replay() {
-  std::ifstream in(path_, std::ios::binary);
+void Journal::replay(const std::string& path, bool cut) {
+  std::ifstream in(path, std::ios::binary);
   std::stringstream all;
   all << in.rdbuf();
   const std::string bytes = all.str();
@@ -147,7 +166,7 @@
     }
     at += kHeader + head[0];
   }
-  if (at < bytes.size()) {
+  if (at < bytes.size() && cut) {
     std::cerr << "journal: a torn tail of " << bytes.size() - at << " bytes was cut" << std::endl;
     if (::ftruncate(file_, static_cast<off_t>(at)) != 0)
       throw std::runtime_error("cannot cut '" + path_ + "': " + std::strerror(errno));
@@ -362,8 +381,16 @@
   return false;
 }
 
+// What is written may be done only if the folder is this one's after the write: see Ownership.
 bool Journal::commit() {
+  if (fenced_) return false;
   if (pending_.empty() && !rewrite_) return true;
+  const bool written = write();
+  fenced_ = owner_ && !owner_->mine();
+  return written && !fenced_;
+}
+
+bool Journal::write() {
   const bool full = fileBytes_ + pending_.size() + reserved_ + kBlock > diskBytes_;
   const bool wasteful = fileBytes_ > 4 * (reserved_ + answerBytes_ + kSpare);
   if (!rewrite_ && !full && !wasteful && append(pending_)) {
@@ -406,7 +433,7 @@
     ::unlink(fresh.c_str());
     return false;
   }
-  ::close(file_);
+  if (file_ >= 0) ::close(file_);
   file_ = next;
   fileBytes_ = all.size();
   pending_.clear();
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "journal/ownership.hpp"
 #include "quilltide/sender.hpp"
 
 namespace quilltide::net {
@@ -71,7 +72,10 @@
  public:
   // Replays what is there; a torn tail is cut and logged. Throws std::runtime_error if the folder is of no
   // use.
-  Journal(const std::string& folder, std::size_t diskBytes, const Keep& keep = {});
+  // With an owner the folder is taken for its epoch first, and what the one before wrote is taken over into a
+  // file of this epoch's own; without one the folder must not have been anybody's by epoch.
+  Journal(const std::string& folder, std::size_t diskBytes, const Keep& keep = {},
+          std::unique_ptr<Ownership> owner = nullptr);
   ~Journal();
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
@@ -93,6 +97,8 @@
   // Writes what was said since the last commit. False: none of it is on disk; it goes with the next commit
   // that succeeds, so take back what must not be there (end() for a message not taken on).
   [[nodiscard]] bool commit();
+  // Somebody else has the folder: no commit succeeds any more, and nothing may be done that needs one.
+  bool fenced() const { return fenced_; }
 
   Owed* find(const std::string& id);
   const Owed* find(const std::string& id) const { return const_cast<Journal*>(this)->find(id); }
@@ -100,7 +106,7 @@
   const Digest* digestOf(const std::string& id) const;
   // Final answers, once they are on disk. Pointers hold until the next change.
   const Answered* answered(const std::string& id) const;
-  bool answering(const std::string& id) const;  // it has one that is not on disk yet
+  bool answering(const std::string& id) const;                // it has one that is not on disk yet
   const Answered* answerAfter(std::uint64_t position) const;  // the first of a later position
   // Tells this journal's positions from those of another folder, as after the loss of a machine.
   std::uint32_t epoch() const { return epoch_; }
@@ -111,10 +117,12 @@
   Micros oldestAnswer() const { return answers_.empty() ? 0 : answers_.front().at; }
   void forgetAnswers(Micros wallNow);
   std::unordered_map<std::string, std::unique_ptr<Owed>>& owed() { return owed_; }
+  bool owesNothing() const { return owed_.empty(); }
   std::size_t fileBytes() const { return fileBytes_; }
 
  private:
-  void replay();
+  void replay(const std::string& path, bool cut);
+  bool write();
   void apply(const std::string& payload);
   void put(const std::string& payload);
   bool append(const std::string& bytes);
@@ -122,6 +130,8 @@
   void rememberEnd(const std::string& id, const Digest& digest);
   void keepAnswer(Answered answer);
 
+  std::unique_ptr<Ownership> owner_;
+  bool fenced_ = false;
   std::string path_;
   std::size_t diskBytes_;
   int file_ = -1;
--- /dev/null
+++ b/tests/adoption_test.cpp
@@ -0,0 +1,264 @@
+// Who has a folder: every order in which an owner's and its adopters' steps may fall, with the journal that
+// is shipped.
+#include "fleet/adoption/adoption.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+
+#include "journal/journal.hpp"
+
+namespace quilltide::net {
+namespace {
+
+namespace fs = std::filesystem;
+
+struct TempFolder {
+  TempFolder() {
+    std::string name = (fs::temp_directory_path() / "thistleyoke-XXXXXX").string();
+    path = ::mkdtemp(name.data());
+  }
+  ~TempFolder() { fs::remove_all(path); }
+  std::string path;
+};
+
+Owed message(const std::string& id, const std::string& body = "{}") {
+  Owed m;
+  m.id = id;
+  m.body = body;
+  m.messageClass = 2;
+  m.deadline = 1'000'000'000;
+  return m;
+}
+
+// An owner that can be stopped between its write and its look at the marks.
+struct Stopped : Ownership {
+  using Ownership::Ownership;
+  bool mine() const override {
+    if (*stop) (*stop)();
+    return Ownership::mine();
+  }
+  std::shared_ptr<std::function<void()>> stop = std::make_shared<std::function<void()>>();
+};
+
+// What an adopter does with an unsafe message: called again only if no attempt of it may have run.
+bool callsAgain(Journal& journal, const std::string& id) {
+  const Owed* m = journal.find(id);
+  if (m == nullptr) return false;
+  return std::all_of(m->attempts.begin(), m->attempts.end(), [](const auto& a) { return a.second.neverRan; });
+}
+
+// Owner: takes a message on (W1 C1, then +OK), writes an attempt (W2), looks (C2), calls. Adopters' steps are
+// put in at each of the owner's points, in every order, and each adopter may die after any of its own.
+enum Point { beforeW1, betweenW1C1, beforeW2, betweenW2C2, beforeCall, afterCall, kPoints };
+
+struct Case {
+  Point mark, read;  // where the first adopter adds its mark, and reads
+  bool firstDies;    // after its mark, without reading
+  Point secondMark, secondRead;
+  bool compacts;  // the owner's second write replaces its file instead of adding to it
+};
+
+void playCase(const Case& c) {
+  TempFolder folder;
+  auto owned = std::make_unique<Stopped>(folder.path, 1);
+  const auto stop = owned->stop;
+  // The limit decides whether the second write finds room behind the first.
+  const std::size_t disk = c.compacts ? 12'500 : 3'000'000;
+  const auto inode = [&] {
+    struct stat file {};
+    ::stat((folder.path + "/journal-00000000000000000001").c_str(), &file);
+    return file.st_ino;
+  };
+  Journal owner(folder.path, disk, {}, std::move(owned));
+  std::unique_ptr<Ownership> firstMark, secondMark;
+  std::unique_ptr<Journal> first, second;
+  bool firstFenced = false;
+  const auto adopters = [&](Point at) {
+    // The owner may be stopped at one point for as long as all of this takes.
+    if (at == c.mark) {
+      firstMark = std::make_unique<Ownership>(folder.path, 2);
+      firstMark->take();
+    }
+    if (at == c.read && !c.firstDies) {
+      try {
+        first =
+            std::make_unique<Journal>(folder.path, disk, Keep{}, std::make_unique<Ownership>(folder.path, 2));
+      } catch (const std::runtime_error&) {
+        firstFenced = true;  // the second one was quicker
+      }
+    }
+    if (at == c.secondMark) {
+      secondMark = std::make_unique<Ownership>(folder.path, 3);
+      secondMark->take();
+    }
+    if (at == c.secondRead)
+      second =
+          std::make_unique<Journal>(folder.path, disk, Keep{}, std::make_unique<Ownership>(folder.path, 3));
+  };
+  adopters(beforeW1);
+  owner.accept(message("m", std::string(c.compacts ? 5'000 : 10, 'x')));
+  *stop = [&] { adopters(betweenW1C1); };
+  const bool taken = owner.commit();
+  *stop = nullptr;
+  int calls = 0;
+  adopters(beforeW2);
+  if (taken) {
+    const auto before = inode();
+    Owed& m = *owner.find("m");
+    owner.attempt(m, 0, "t", 5);
+    *stop = [&] { adopters(betweenW2C2); };
+    const bool may = owner.commit();
+    *stop = nullptr;
+    if (c.mark >= beforeCall) {  // else its file may be gone already
+      EXPECT_EQ(inode() != before, c.compacts);
+    }
+    adopters(beforeCall);
+    if (may) ++calls;
+  } else {
+    adopters(betweenW2C2);
+    adopters(beforeCall);
+  }
+  adopters(afterCall);
+  // The last adopter ends it. A first one that had read before the second came may have called too: then it
+  // wrote so before, and the second one knows.
+  if (first && !firstFenced && !second->find("m")) {
+    EXPECT_TRUE(!taken) << "lost between two adopters";
+  }
+  if (callsAgain(*second, "m")) ++calls;
+  EXPECT_LE(calls, 1) << "twice: mark " << c.mark << " read " << c.read << " dies " << c.firstDies
+                      << " mark2 " << c.secondMark << " read2 " << c.secondRead << " compacts " << c.compacts;
+  // +OK was told only if it is in the journal that the last one has.
+  if (taken) {
+    EXPECT_NE(second->find("m"), nullptr)
+        << "lost: mark " << c.mark << " read " << c.read << " mark2 " << c.secondMark;
+  }
+  if (c.secondMark <= betweenW2C2) {
+    EXPECT_EQ(calls - (callsAgain(*second, "m") ? 1 : 0), 0) << "called after the mark";
+  }
+  // From the mark on the owner writes nothing that counts.
+  EXPECT_FALSE([&] {
+    owner.accept(message("late"));
+    return owner.commit();
+  }());
+  EXPECT_TRUE(owner.fenced());
+  EXPECT_EQ(second->find("late"), nullptr);
+}
+
+TEST(Adoption, InEveryOrderOfStepsAMessageIsCalledOnceAtMostAndNeverLost) {
+  std::size_t cases = 0;
+  for (int mark = 0; mark < kPoints; ++mark)
+    for (int read = mark; read < kPoints; ++read)
+      for (int secondMark = mark; secondMark < kPoints; ++secondMark)
+        for (int secondRead = std::max(secondMark, read); secondRead < kPoints; ++secondRead)
+          for (const bool dies : {false, true})
+            for (const bool compacts : {false, true}) {
+              playCase({static_cast<Point>(mark), static_cast<Point>(read), dies,
+                        static_cast<Point>(secondMark), static_cast<Point>(secondRead), compacts});
+              ++cases;
+            }
+  EXPECT_GT(cases, 400U);
+}
+
+// The protocol the other way round: the owner looks first and writes then. It has to fail, or the test above
+// sees nothing.
+TEST(Adoption, LookingBeforeWritingWouldCallTwice) {
+  TempFolder folder;
+  Journal owner(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 1));
+  owner.accept(message("m"));
+  ASSERT_TRUE(owner.commit());
+  const bool may = Ownership(folder.path, 1).mine();  // looks
+  Journal adopter(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 2));
+  owner.attempt(*owner.find("m"), 0, "t", 5);
+  static_cast<void>(owner.commit());  // writes, and calls by what it saw before
+  EXPECT_EQ((may ? 1 : 0) + (callsAgain(adopter, "m") ? 1 : 0), 2);
+}
+
+TEST(Adoption, AnAdopterThatDiedAnywhereLeavesAllForTheNext) {
+  TempFolder folder;
+  {
+    Journal owner(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 7));
+    for (int i = 0; i < 20; ++i) owner.accept(message("m" + std::to_string(i)));
+    ASSERT_TRUE(owner.commit());
+  }
+  // Died after its mark; after a file that was begun; after its own file was whole.
+  Ownership(folder.path, 8).take();
+  std::ofstream(folder.path + "/journal-00000000000000000009.new") << "begun";
+  Ownership(folder.path, 9).take();
+  {
+    Journal third(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 10));
+    EXPECT_EQ(third.owed().size(), 20U);
+    third.end("m3");
+    ASSERT_TRUE(third.commit());
+  }
+  Journal fourth(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 11));
+  EXPECT_EQ(fourth.owed().size(), 19U);
+  EXPECT_FALSE(fs::exists(folder.path + "/owner-00000000000000000007"));
+}
+
+TEST(Adoption, AFolderFromBeforeTheFleetIsTakenOverAndNotGivenBack) {
+  TempFolder folder;
+  {
+    Journal plain(folder.path, 3'000'000);
+    plain.accept(message("m"));
+    ASSERT_TRUE(plain.commit());
+  }
+  {
+    Journal owned(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 5));
+    EXPECT_NE(owned.find("m"), nullptr);
+  }
+  EXPECT_THROW(Journal(folder.path, 3'000'000), std::runtime_error);
+  EXPECT_THROW(Journal(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 4)),
+               std::runtime_error);
+}
+
+TEST(Adoption, WithoutTheFolderNobodyActs) {
+  TempFolder folder;
+  const std::string path = folder.path + "/f";
+  fs::create_directory(path);
+  Ownership owner(path, 1);
+  owner.take();
+  EXPECT_TRUE(owner.mine());
+  fs::remove_all(path);
+  EXPECT_FALSE(owner.mine());
+}
+
+// ---- Which folders are claimed ----
+
+using Names = std::set<std::string>;
+
+TEST(AdoptionChoice, OnlyWhatHasNoOwnerForLongAndNeverItsOwn) {
+  fleet::Adoption adoption({"me", 1'000, 10});
+  const Names all{"me", "a", "b"};
+  EXPECT_TRUE(adoption.look(all, {"a"}, 0).empty());
+  EXPECT_TRUE(adoption.look(all, {"a"}, 999).empty());
+  EXPECT_EQ(adoption.look(all, {"a"}, 1'000), std::vector<std::string>{"b"});
+  EXPECT_TRUE(adoption.look(all, {"a"}, 2'000).empty());  // it is being adopted
+  adoption.finished("b");
+  // Back for a moment: the time begins anew.
+  EXPECT_TRUE(adoption.look(all, {"a", "b"}, 3'000).empty());
+  EXPECT_TRUE(adoption.look(all, {"a"}, 3'500).empty());
+  EXPECT_TRUE(adoption.look(all, {"a"}, 4'499).empty());
+  EXPECT_EQ(adoption.look(all, {"a"}, 4'500).size(), 1U);
+}
+
+TEST(AdoptionChoice, SoManyAtOnceAndAnewAfterARest) {
+  fleet::Adoption adoption({"me", 100, 2});
+  const Names all{"a", "b", "c", "d"};
+  adoption.look(all, {}, 0);
+  EXPECT_EQ(adoption.look(all, {}, 100).size(), 2U);
+  EXPECT_TRUE(adoption.look(all, {}, 200).empty());
+  adoption.finished("a");
+  EXPECT_EQ(adoption.look({"c", "d"}, {}, 300), std::vector<std::string>{"c"});
+  adoption.rest();
+  adoption.finished("b");
+  EXPECT_TRUE(adoption.look({"d"}, {}, 1'000).empty());
+  EXPECT_EQ(adoption.look({"d"}, {}, 1'100), std::vector<std::string>{"d"});
+}
+
+}  // namespace
+}  // namespace quilltide::net
--- /dev/null
+++ b/tests/rig/adoption_test.cpp
@@ -0,0 +1,154 @@
+// Forwarders of a fleet: one is gone for good, or only seems so, and another one ends what it owed.
+#include <signal.h>
+
+#include "client.hpp"
+#include "directory.hpp"
+#include "fleet_bed.hpp"
+#include "partner.hpp"
+#include "platform.hpp"
+
+namespace quilltide::rig {
+namespace {
+
+using namespace standin;
+
+struct AdoptionTest : FleetTest {
+  AdoptionTest()
+      : directory(io, rig.at("directory", "http")), partner(io, 0, effects, {}, rig.at("partner", "http")) {}
+
+  void startForwarders(int count) {
+    keepers.count = 1;
+    keepers.longestTermMs = 1'000;
+    startKeepers();
+    directory.set({"p0", partner.text(), 0});
+    for (int i = 0; i < count; ++i) {
+      const std::string name = "f" + std::to_string(i);
+      const nlohmann::json config = {{"name", name},
+                                     {"listen", "{at:resp}"},
+                                     {"discovery", "{to:directory.http}"},
+                                     {"seed", std::to_string(i)},
+                                     {"limits", {{"sockets", 256}, {"memory_mb", 64}, {"disk_mb", 8}}},
+                                     {"known", directory.list()},
+                                     {"settings", platformSettings({{"statut", "safe", 1, 0.5, 24'000},
+                                                                    {"ordre", "keyed", 2, 0.3, 16'000},
+                                                                    {"paiement", "unsafe", 5, 0.4, 16'000}},
+                                                                   32, 2'000)}};
+      const std::string toml =
+          "[platform]\nconfig = \"{folder}/config.json\"\nstate = \"{state}\"\n[fleet]\nkeepers = \"" +
+          keepersFor(1) + "\"\nterm_ms = 600\nadopt = true\ngone_after_ms = 300\n";
+      rig.add({name,
+               FORWARDER,
+               {"--config", "{folder}/thistleyoke.toml"},
+               {},
+               {{"config.json", config.dump()}, {"thistleyoke.toml", toml}},
+               false});
+      rig.start(name);
+      ASSERT_TRUE(rig.awaitLine(name, "is ready", milliseconds(10'000))) << rig.timeline().text();
+    }
+  }
+  void hand(const std::string& forwarder, const std::string& id, const std::string& cls) {
+    auto& client = clients[forwarder];
+    if (!client) client = respClient(io, rig.from("client", forwarder, "resp"), 2);
+    Message m;
+    m.id = id;
+    m.cls = cls;
+    if (cls == "ordre") m.key = "key-" + id;
+    m.body = "{}";
+    client->submit(m, [this, id](const Told& told) { answers[id] = told.kind; });
+  }
+  bool taken(const std::string& id) { return answers.contains(id) && answers[id] == Told::Kind::taken; }
+  std::size_t adoptions() { return rig.timeline().count("f[0-9]", "fleet: adopts f"); }
+
+  Effects effects;
+  Directory directory;
+  Partner partner;
+  std::map<std::string, std::unique_ptr<Client>> clients;
+  std::map<std::string, Told::Kind> answers;
+};
+
+TEST_F(AdoptionTest, OneIsGoneAndExactlyOneOtherEndsWhatItOwed) {
+  startForwarders(3);
+  partner.script([](const std::string& id, int attempt) {
+    return id.starts_with("hang") && attempt == 0 ? Does::hang : Does::deliver;
+  });
+  hand("f0", "hang-unsafe", "paiement");
+  hand("f0", "hang-keyed", "ordre");
+  ASSERT_TRUE(until([&] { return effects.all().size() == 2; })) << rig.timeline().text();
+  partner.away();  // what comes now is held
+  hand("f0", "held-unsafe", "paiement");
+  hand("f0", "held-keyed", "ordre");
+  ASSERT_TRUE(until([&] { return taken("held-unsafe") && taken("held-keyed"); }));
+  rig.child("f0").kill();
+  partner.back();
+  EXPECT_TRUE(until([&] { return rig.timeline().count("f[12]", "all that f0 owed has ended") == 1; }, 20'000))
+      << rig.timeline().text();
+  EXPECT_EQ(adoptions(), 1U);
+  EXPECT_EQ(effects.of("hang-unsafe"), 1U);  // it had run: not again
+  EXPECT_EQ(directory.notices().at("hang-unsafe").outcome, "given_up");
+  EXPECT_EQ(effects.of("hang-keyed"), 1U);
+  EXPECT_TRUE(effects.settled("hang-keyed"));
+  EXPECT_EQ(effects.of("held-unsafe") + directory.notices().contains("held-unsafe"), 1U);
+  EXPECT_LE(effects.of("held-keyed"), 1U);
+  // Nobody looks into it any more, and it comes back as one that owes nothing.
+  rig.start("f0");
+  ASSERT_TRUE(rig.awaitLine("f0", "is ready", milliseconds(10'000)));
+  hand("f0", "after", "statut");
+  EXPECT_TRUE(until([&] { return effects.settled("after"); }));
+}
+
+TEST_F(AdoptionTest, OneThatOnlySleptFindsItsFolderTakenAndDoesNothing) {
+  startForwarders(2);
+  partner.away();
+  for (int i = 0; i < 5; ++i) hand("f0", "p" + std::to_string(i), "paiement");
+  ASSERT_TRUE(until([&] { return taken("p4"); }));
+  rig.child("f0").signal(SIGSTOP);
+  ASSERT_TRUE(until([&] { return adoptions() == 1; })) << rig.timeline().text();
+  partner.back();
+  ASSERT_TRUE(until([&] { return rig.timeline().count("f1", "all that f0 owed has ended") == 1; }, 30'000))
+      << rig.timeline().text();
+  rig.child("f0").signal(SIGCONT);
+  // It wants to go on with what it knows, sees the mark, and ends.
+  ASSERT_TRUE(ended("f0", 20'000)) << rig.timeline().text();
+  EXPECT_EQ(WEXITSTATUS(*rig.child("f0").status()), 4);
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "p" + std::to_string(i);
+    EXPECT_EQ(effects.of(id) + directory.notices().contains(id), 1U) << id;
+  }
+}
+
+TEST_F(AdoptionTest, TheAdopterDiesAndTheNextOneFinishes) {
+  startForwarders(3);
+  partner.away();
+  for (int i = 0; i < 10; ++i) hand("f0", "p" + std::to_string(i), i % 2 == 0 ? "paiement" : "ordre");
+  ASSERT_TRUE(until([&] { return taken("p9"); }));
+  rig.child("f0").kill();
+  ASSERT_TRUE(until([&] { return adoptions() == 1; }));
+  const std::string adopter = rig.timeline().count("f1", "fleet: adopts f0") == 1 ? "f1" : "f2";
+  const std::string other = adopter == "f1" ? "f2" : "f1";
+  rig.child(adopter).kill();
+  partner.back();
+  ASSERT_TRUE(until([&] { return rig.timeline().count(other, "all that f0 owed has ended") == 1; }, 30'000))
+      << rig.timeline().text();
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "p" + std::to_string(i);
+    EXPECT_LE(effects.of(id), 1U) << id;
+    EXPECT_TRUE(effects.settled(id) || directory.notices().contains(id)) << id;
+  }
+}
+
+TEST_F(AdoptionTest, WithoutKeepersAllGoesOnButStartsWait) {
+  startForwarders(2);
+  rig.child("k1").kill();
+  rig.wait(milliseconds(1'500));  // terms are over
+  hand("f0", "m0", "paiement");
+  EXPECT_TRUE(until([&] { return effects.settled("m0"); })) << rig.timeline().text();
+  rig.child("f1").kill();
+  rig.start("f1");
+  EXPECT_FALSE(rig.awaitLine("f1", "is ready", milliseconds(1'000)));
+  rig.start("k1");
+  EXPECT_TRUE(rig.awaitLine("f1", "is ready", milliseconds(10'000))) << rig.timeline().text();
+  EXPECT_EQ(rig.timeline().count("f0", "does nothing more"), 0U);
+}
+
+}  // namespace
+}  // namespace quilltide::rig
