Watches and [fleet] tested; figures of keepers and leases; one place for a rig's forwarders

What the change had written twice (a process's use of CPU and memory, a forwarder's configuration in the rig) stands once.

--- a/bench/keepers.cpp
+++ b/bench/keepers.cpp
@@ -1,7 +1,6 @@
 // What keepers cost and how long a fleet stands still: renewals on one keeper's core, and the time from a
 // holder's and from a leader's death to the next act and the next write.
 #include <signal.h>
-#include <unistd.h>
 
 #include <CLI/App.hpp>
 #include <CLI/Config.hpp>
@@ -9,39 +8,22 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cmath>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "fleet.hpp"
 #include "latency.hpp"
+#include "usage.hpp"
 
 using namespace quilltide::rig;
 using nlohmann::json;
+using quilltide::standin::cpuSecondsOf;
 using quilltide::standin::Latencies;
+using quilltide::standin::residentBytesOf;
 
 namespace {
 
 namespace http = boost::beast::http;
 
-double cpuOf(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-  std::string text{std::istreambuf_iterator<char>(file), {}};
-  std::istringstream rest(text.substr(text.rfind(')') + 2));
-  std::string word;
-  for (int i = 0; i < 11; ++i) rest >> word;
-  double user = 0, system = 0;
-  rest >> user >> system;
-  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
-std::size_t residentOf(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
-  std::size_t all = 0, resident = 0;
-  file >> all >> resident;
-  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
-}
-
 // One connection that asks one thing after the other, as long as it is given any.
 class Asker : public std::enable_shared_from_this<Asker> {
  public:
@@ -94,7 +76,7 @@
   rig.startAll();
   const std::string leader = awaitLeader(rig, keepers);
   const pid_t pid = rig.child(leader).pid();
-  const std::size_t before = residentOf(pid);
+  const std::size_t before = residentBytesOf(pid);
   std::vector<std::uint64_t> ids;
   std::size_t asked = 0;
   const auto all = [&](const Asker::Next& next, const std::function<void(const json&)>& then,
@@ -118,9 +100,9 @@
       },
       [&](const json& answer) { ids.push_back(answer.value("session", std::uint64_t{0})); },
       [&] { return ids.size() >= sessions; }, milliseconds(120'000));
-  const std::size_t after = residentOf(pid);
+  const std::size_t after = residentBytesOf(pid);
   std::size_t next = 0, done = 0;
-  const double cpu = cpuOf(pid);
+  const double cpu = cpuSecondsOf(pid);
   const auto begin = std::chrono::steady_clock::now();
   const auto end = begin + milliseconds(static_cast<int>(seconds * 1'000));
   const std::size_t bytes = all(
@@ -131,7 +113,7 @@
       [&](const json& answer) { done += answer.value("code", "") == "ok"; },
       [&] { return std::chrono::steady_clock::now() >= end; }, milliseconds(600'000));
   const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
-  const double used = cpuOf(pid) - cpu;
+  const double used = cpuSecondsOf(pid) - cpu;
   const auto rounded = [](double value) { return std::round(value * 10) / 10; };
   return {{"keepers", keepers},
           {"sessions", ids.size()},
--- a/rig/fleet.cpp
+++ b/rig/fleet.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "platform.hpp"
+
 namespace quilltide::rig {
 
 using nlohmann::json;
@@ -153,6 +155,19 @@
   rig.add({plan.name, program, args, {}, {}, plan.clock});
 }
 
+json forwarderConfig(const std::string& name, int seed, const json& known) {
+  return {{"name", name},
+          {"listen", "{at:resp}"},
+          {"discovery", "{to:directory.http}"},
+          {"seed", std::to_string(seed)},
+          {"limits", {{"sockets", 256}, {"memory_mb", 64}, {"disk_mb", 8}}},
+          {"known", known},
+          {"settings", standin::platformSettings({{"statut", "safe", 1, 0.5, 24'000},
+                                                  {"ordre", "keyed", 2, 0.3, 16'000},
+                                                  {"paiement", "unsafe", 5, 0.4, 16'000}},
+                                                 32, 2'000)}};
+}
+
 std::pair<int, json> ask(Rig& rig, const tcp::endpoint& to, const std::string& target, const json* body,
                          milliseconds most) {
   namespace beast = boost::beast;
--- a/rig/fleet.hpp
+++ b/rig/fleet.hpp
@@ -64,6 +64,10 @@
 };
 void addActor(Rig& rig, const std::string& program, const ActorPlan& plan, int keepers);
 
+// A forwarder's configuration as the platform tells it: it listens at {at:resp}, its directory is
+// {to:directory.http}.
+nlohmann::json forwarderConfig(const std::string& name, int seed, const nlohmann::json& known);
+
 // An HTTP request from the rig itself, straight to a port of a process: its status (0: none) and JSON.
 std::pair<int, nlohmann::json> ask(Rig& rig, const tcp::endpoint& to, const std::string& target,
                                    const nlohmann::json* body = nullptr,
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -153,7 +153,8 @@
               << loaded.product.keep().time / 1'000'000 << " s\n";
   std::cout << "targets: " << budget.targets << " connections\n";
   if (loaded.product.fleet)
-    std::cout << "fleet: keepers " << loaded.product.fleet->keepers << ", terms of "
+    std::cout << "fleet: " << quilltide::fleet::parseKeepers(loaded.product.fleet->keepers).size()
+              << " keepers, " << loaded.product.fleet->keepers << ", terms of "
               << loaded.product.fleet->termMs << " ms, "
               << (loaded.product.fleet->adopt ? "adopts" : "does not adopt") << "\n";
   return 0;
--- a/stand-ins/process.cpp
+++ b/stand-ins/process.cpp
@@ -12,12 +12,12 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
 #include <thread>
 
 #include "platform.hpp"
 #include "ports.hpp"
+#include "usage.hpp"
 
 namespace quilltide::standin {
 
@@ -140,23 +140,9 @@
   ended(std::chrono::seconds(10));
 }
 
-double ForwarderProcess::cpuSeconds() const {
-  std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
-  std::string text{std::istreambuf_iterator<char>(file), {}};
-  std::istringstream rest(text.substr(text.rfind(')') + 2));
-  std::string word;
-  for (int i = 0; i < 11; ++i) rest >> word;
-  double user = 0, system = 0;
-  rest >> user >> system;
-  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
+double ForwarderProcess::cpuSeconds() const { return cpuSecondsOf(pid_); }
 
-std::size_t ForwarderProcess::residentBytes() const {
-  std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
-  std::size_t all = 0, resident = 0;
-  file >> all >> resident;
-  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
-}
+std::size_t ForwarderProcess::residentBytes() const { return residentBytesOf(pid_); }
 
 std::size_t ForwarderProcess::descriptors() const {
   std::error_code error;
--- /dev/null
+++ b/stand-ins/usage.cpp
@@ -0,0 +1,31 @@
+// Reads /proc.
+#include "usage.hpp"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <string>
+
+namespace quilltide::standin {
+
+double cpuSecondsOf(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  std::string text{std::istreambuf_iterator<char>(file), {}};
+  std::istringstream rest(text.substr(text.rfind(')') + 2));
+  std::string word;
+  for (int i = 0; i < 11; ++i) rest >> word;
+  double user = 0, system = 0;
+  rest >> user >> system;
+  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+std::size_t residentBytesOf(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+  std::size_t all = 0, resident = 0;
+  file >> all >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace quilltide::standin
--- a/tests/product_test.cpp
+++ b/tests/product_test.cpp
@@ -37,6 +37,26 @@
   EXPECT_EQ(p.keep().most, 7U);
 }
 
+TEST(Product, ReadsTheFleet) {
+  EXPECT_FALSE(parseProduct("", "f.toml").fleet);
+  const Product p = parseProduct(
+      "[fleet]\nkeepers = \"1=127.0.0.1:7401\"\nname = \"n\"\nterm_ms = 900\ndrift = 0.05\nadopt = true\n"
+      "gone_after_ms = 5\nadopt_at_once = 3\n",
+      "f.toml");
+  ASSERT_TRUE(p.fleet);
+  EXPECT_EQ(p.fleet->keepers, "1=127.0.0.1:7401");
+  EXPECT_EQ(p.fleet->name, "n");
+  EXPECT_EQ(p.fleet->termMs, 900);
+  EXPECT_EQ(p.fleet->drift, 0.05);
+  EXPECT_TRUE(p.fleet->adopt);
+  EXPECT_EQ(p.fleet->goneAfterMs, 5);
+  EXPECT_EQ(p.fleet->adoptAtOnce, 3U);
+  const auto errors = errorsIn("[fleet]\nterm_ms = 1\nadopt = 1\ndrift = 2.0\n");
+  ASSERT_EQ(errors.size(), 4U);
+  EXPECT_EQ(errors[0], "f.toml:1: fleet.keepers: is missing: ID=ADDRESS:PORT of each keeper, with commas");
+  EXPECT_EQ(errors[1], "f.toml:2: fleet.term_ms: is 1, not from 200 to 3600000");
+}
+
 TEST(Product, TellsAllMistakesTogetherEachWithItsPlace) {
   const std::vector<std::string> errors = errorsIn(
       "surprise = 1\n"
--- a/tests/rig/adoption_test.cpp
+++ b/tests/rig/adoption_test.cpp
@@ -5,7 +5,6 @@
 #include "directory.hpp"
 #include "fleet_bed.hpp"
 #include "partner.hpp"
-#include "platform.hpp"
 
 namespace quilltide::rig {
 namespace {
@@ -24,16 +23,7 @@
     directory.set({"p0", partner.text(), 0});
     for (int i = 0; i < count; ++i) {
       const std::string name = "f" + std::to_string(i);
-      const nlohmann::json config = {{"name", name},
-                                     {"listen", "{at:resp}"},
-                                     {"discovery", "{to:directory.http}"},
-                                     {"seed", std::to_string(i)},
-                                     {"limits", {{"sockets", 256}, {"memory_mb", 64}, {"disk_mb", 8}}},
-                                     {"known", directory.list()},
-                                     {"settings", platformSettings({{"statut", "safe", 1, 0.5, 24'000},
-                                                                    {"ordre", "keyed", 2, 0.3, 16'000},
-                                                                    {"paiement", "unsafe", 5, 0.4, 16'000}},
-                                                                   32, 2'000)}};
+      const nlohmann::json config = forwarderConfig(name, i, directory.list());
       const std::string toml =
           "[platform]\nconfig = \"{folder}/config.json\"\nstate = \"{state}\"\n[fleet]\nkeepers = \"" +
           keepersFor(1) + "\"\nterm_ms = 600\nadopt = true\ngone_after_ms = 300\n";
--- a/tests/rig/forwarders_test.cpp
+++ b/tests/rig/forwarders_test.cpp
@@ -5,9 +5,8 @@
 
 #include "client.hpp"
 #include "directory.hpp"
+#include "fleet.hpp"
 #include "partner.hpp"
-#include "platform.hpp"
-#include "rig.hpp"
 
 namespace quilltide::rig {
 namespace {
@@ -23,16 +22,7 @@
       const std::string name = "f" + std::to_string(i);
       // Each reaches the partner by its own relay, so each has a list of its own to start from.
       directory.set({"p0", textOf(rig.from("all", "partner", "http")), 0});
-      const nlohmann::json config = {{"name", name},
-                                     {"listen", "{at:resp}"},
-                                     {"discovery", "{to:directory.http}"},
-                                     {"seed", std::to_string(i)},
-                                     {"limits", {{"sockets", 256}, {"memory_mb", 64}, {"disk_mb", 8}}},
-                                     {"known", directory.list()},
-                                     {"settings", platformSettings({{"statut", "safe", 1, 0.5, 24'000},
-                                                                    {"ordre", "keyed", 2, 0.3, 16'000},
-                                                                    {"paiement", "unsafe", 5, 0.4, 16'000}},
-                                                                   32, 2'000)}};
+      const nlohmann::json config = forwarderConfig(name, i, directory.list());
       rig.add({name,
                FORWARDER,
                {},
--- a/tests/rig/keepers_test.cpp
+++ b/tests/rig/keepers_test.cpp
@@ -2,8 +2,10 @@
 // run.
 #include <signal.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <fstream>
+#include <thread>
 
 #include "fleet_bed.hpp"
 
@@ -291,6 +293,44 @@
   EXPECT_TRUE(body["leases"].empty()) << body.dump();  // given back at once, not run out
 }
 
+TEST_F(KeepersTest, AWatchIsAnsweredWhenSomethingUnderItsPrefixChanges) {
+  keepers.count = 1;
+  startKeepers();
+  ASSERT_GT(put("a/1", "x"), 0U);
+  const auto [status, first] = get("k1", "/v1/values?prefix=a/&after=0&wait_ms=2000");
+  ASSERT_EQ(status, 200);
+  EXPECT_EQ(first["values"].size(), 1U);
+  const std::string after = std::to_string(first["index"].get<std::uint64_t>());
+  // Nothing new: it waits its time out, whatever happens elsewhere.
+  const auto begin = now();
+  ASSERT_GT(put("b/1", "x"), 0U);
+  EXPECT_EQ(get("k1", "/v1/values?prefix=a/&after=" + after + "&wait_ms=300").first, 200);
+  EXPECT_GE(now() - begin, 300'000);
+  // A change, and a removal, in the middle of the wait.
+  for (const bool removal : {false, true}) {
+    const auto asked = now();
+    const std::string from =
+        std::to_string(get("k1", "/v1/values?prefix=a/").second["index"].get<std::uint64_t>());
+    const std::string target = "/v1/values?prefix=a/&after=" + from + "&wait_ms=5000";
+    std::thread writer([&, at = rig.at("k1", "http")] {
+      std::this_thread::sleep_for(milliseconds(150));
+      boost::asio::io_context other;
+      tcp::socket socket(other);
+      socket.connect(at);
+      const std::string text = removal ? R"({"key":"a/1","value":null})" : R"({"key":"a/2","value":"y"})";
+      boost::asio::write(socket, boost::asio::buffer("POST /v1/put HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                                                     std::to_string(text.size()) + "\r\n\r\n" + text));
+      char byte;
+      boost::asio::read(socket, boost::asio::buffer(&byte, 1));
+    });
+    const auto [read, news] = ask(rig, rig.at("k1", "http"), target, nullptr, milliseconds(6'000));
+    writer.join();
+    EXPECT_EQ(read, 200);
+    EXPECT_LT(now() - asked, 3'000'000);
+    EXPECT_EQ(news["values"].size(), removal ? 1U : 2U) << news.dump();
+  }
+}
+
 TEST_F(KeepersTest, BadInputIsToldAndBreaksNothing) {
   keepers.count = 1;
   startKeepers();
@@ -314,6 +354,14 @@
   EXPECT_TRUE(rig.child("k1").running());
 }
 
+TEST_F(KeepersTest, TheShippedFileCanBeUsed) {
+  rig.add({"check", KEEPER, {"--config", SHIPPED_KEEPER, "check"}, {}, {}, false});
+  rig.start("check");
+  ASSERT_TRUE(ended("check"));
+  EXPECT_EQ(*rig.child("check").status(), 0) << rig.timeline().text();
+  EXPECT_EQ(rig.timeline().count("check", "keeper 1 of 3 in fleet 'thistleyoke'"), 1U);
+}
+
 TEST_F(KeepersTest, AFileOfNoUseIsToldByLine) {
   std::ofstream(rig.folder() / "bad.toml")
       << "[keeper]\nid = 0\nlisten = \"nowhere\"\ncolour = 1\n[[keeper.peer]]\n";
