--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -1,12 +1,16 @@
 // Who tells whom what: the wiring between engine, carrier, directory and doors.
 #include "app/forwarder.hpp"
 
+#include <algorithm>
+
 #include "config/budget.hpp"
 
 namespace quilltide::net {
 namespace {
 
-constexpr auto kLastAnswers = std::chrono::milliseconds(30);
+// Connections end in order before the process does: what was asked is answered, what still comes is read away, and
+// clients have the time to read and to close. A process that ends on bytes unread resets its last answers.
+constexpr auto kClosing = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -14,7 +18,9 @@
                      std::unique_ptr<Ownership> owner)
     : engine_(io, config, product.keep(), std::move(owner)),
       targets_(
-          io, config, budgetOf(config, product).targets, [this](const Outcome& o) { engine_.outcome(o); },
+          io, config, budgetOf(config, product).targets,
+          [this](const TargetId& to, const std::vector<const Parcel*>& those) { return engine_.leaving(to, those); },
+          [this](const Outcome& o) { engine_.outcome(o); },
           [this](MessageId id) { engine_.late(id); }),
       discovery_(
           io, config, [this](std::optional<Directory> d) { engine_.directory(std::move(d)); },
@@ -38,16 +44,12 @@
 void Forwarder::drain(std::chrono::milliseconds until, std::function<void()> drained) {
   engine_.expectEnd(std::chrono::duration_cast<std::chrono::microseconds>(until).count());
   if (http_) http_->drain();
-  drain_.expires_after(until);
-  drain_.async_wait([this, drained = std::move(drained)](boost::system::error_code error) {
-    if (error) return;
+  const auto serving = std::max(until - kClosing, until / 2);
+  drain_.in(serving, [this, rest = until - serving, drained = std::move(drained)] {
     resp_.finish();
     if (http_) http_->finish();
     engine_.round();
-    drain_.expires_after(kLastAnswers);
-    drain_.async_wait([drained](boost::system::error_code cancelled) {
-      if (!cancelled) drained();
-    });
+    drain_.in(rest, drained);
   });
 }
 
--- a/src/app/forwarder.hpp
+++ b/src/app/forwarder.hpp
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
 
 #include "carriers/http/targets.hpp"
+#include "clock/alarm.hpp"
 #include "config/platform.hpp"
 #include "config/product.hpp"
 #include "directory/discovery.hpp"
@@ -39,7 +39,7 @@
   Discovery discovery_;
   RespDoor resp_;
   std::unique_ptr<HttpDoor> http_;
-  boost::asio::steady_timer drain_;
+  clocks::Alarm drain_;
 };
 
 }  // namespace quilltide::net
--- a/src/carriers/http/targets.cpp
+++ b/src/carriers/http/targets.cpp
@@ -5,11 +5,12 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdio>
 #include <optional>
+#include <utility>
 
 #include "carriers/http/answer.hpp"
 
@@ -24,6 +25,7 @@
 constexpr auto kWholeWithin = std::chrono::milliseconds(500);  // from an answer's first byte to its last
 constexpr int kMostInterim = 16;                               // answers ahead of the one that counts
 constexpr int kLongestWaits = 10;  // the longest wait that is heeded, in longest deadlines
+constexpr std::size_t kPiece = 4 * 1024;  // bytes read at a time
 constexpr auto kIdleMargin = std::chrono::milliseconds(500);  // a request must not cross the target's close
 
 Micros since(Clock::time_point from) {
@@ -69,7 +71,9 @@
   bool counted_ = true;
 };
 
-// One call: its request, its answer, and what became of each of its parcels.
+// One call: its request, its answer, and what became of each of its parcels. What the kernel has taken and what it
+// has brought is known here at once, without a handler in between: a time-out or a call-off that comes first tells the
+// truth.
 class Targets::Exchange : public std::enable_shared_from_this<Targets::Exchange> {
  public:
   Exchange(Targets& home, TargetId target, std::vector<Parcel> parcels)
@@ -79,11 +83,13 @@
 
   void start(std::shared_ptr<Line> line, const tcp::endpoint& address) {
     auto self = shared_from_this();
-    prepare();
     arm();
     if (line) {
       line_ = std::move(line);
-      return send();
+      starting_ = true;
+      leave();
+      starting_ = false;
+      return;
     }
     if (home_.open_ >= home_.most_ && !home_.makeRoom()) return notSent();
     fresh_ = true;
@@ -92,14 +98,15 @@
     connectBy_ = started_ + std::chrono::microseconds(home_.settings_.connectTimeout);
     arm();
     line_->socket.async_connect(address, [this, self](error_code error) {
-      if (over_) return;
+      if (stage_ == Stage::over) return;
       // No descriptor was free: that is this process's own trouble and tells nothing of the target.
       if (error == asio::error::no_descriptors || error == asio::error::no_buffer_space) return notSent();
       if (error) return breakOff();
       error_code ignored;
       line_->socket.set_option(tcp::no_delay(true), ignored);
+      line_->socket.non_blocking(true, ignored);
       connectBy_.reset();
-      send();
+      leave();
     });
   }
 
@@ -110,42 +117,104 @@
 
   // The connection closes once nothing on it is waited for any more: that tells the target.
   void callOff(MessageId handle, int attempt) {
-    if (firstLineTells()) return deliveredAnyway();
-    for (std::size_t i = 0; i < parcels_.size(); ++i) {
-      if (parcels_[i].handle == handle && parcels_[i].attempt == attempt)
-        tell(i, written_ ? Ending::canceled : Ending::connectFailed);
-    }
-    closeIfTold();
+    if (hasItsAnswer()) return;
+    std::vector<std::size_t> off;
+    for (std::size_t i = 0; i < parcels_.size(); ++i)
+      if (!told_[i] && parcels_[i].handle == handle && parcels_[i].attempt == attempt) off.push_back(i);
+    giveUp(off, Ending::canceled);
   }
 
   void abandon() {
-    over_ = true;
+    stage_ = Stage::over;
     timer_.cancel();
     if (line_) line_->close();
   }
 
  private:
-  void prepare() {
-    request_.method(http::verb::post);
-    request_.version(11);
-    request_.set(http::field::host, target_);
+  enum class Stage {
+    connecting,  // nothing has left
+    writing,     // a part of the request has
+    answering,   // all of it has: it may have run
+    over
+  };
+
+  // The connection is up, maybe long after the call: what may no longer leave, or is not waited for any more, stays
+  // behind, and the rest is put together only now.
+  void leave() {
+    std::vector<std::size_t> asked;
+    std::vector<const Parcel*> parcels;
+    for (std::size_t i = 0; i < parcels_.size(); ++i) {
+      if (told_[i]) continue;
+      asked.push_back(i);
+      parcels.push_back(&parcels_[i]);
+    }
+    const std::vector<bool> may = home_.leaving_(target_, parcels);
+    std::vector<std::size_t> behind;
+    for (std::size_t n = 0; n < asked.size(); ++n) (may[n] ? aboard_ : behind).push_back(asked[n]);
+    if (aboard_.empty()) {
+      stage_ = Stage::over;
+      timer_.cancel();
+      home_.giveBack(target_, line_);
+    } else {
+      compose();
+      stage_ = Stage::writing;
+    }
+    for (const std::size_t i : behind) tell(i, Ending::skipped);
+    if (aboard_.empty()) return home_.finished(shared_from_this());
+    write();
+  }
+
+  void compose() {
+    http::request<http::string_body> request;
+    request.method(http::verb::post);
+    request.version(11);
+    request.set(http::field::host, target_);
     Micros longest = 0;
-    for (const Parcel& p : parcels_) longest = std::max(longest, p.timeout);
-    request_.set("X-Deadline", seconds(longest));
-    if (parcels_.size() == 1) {
-      request_.target("/receive");
-      request_.set("X-Request-Id", parcels_.front().id);
-      if (!parcels_.front().key.empty()) request_.set("Idempotency-Key", parcels_.front().key);
-      request_.body() = std::move(parcels_.front().body);
+    for (const std::size_t i : aboard_) longest = std::max(longest, parcels_[i].timeout);
+    request.set("X-Deadline", seconds(std::max<Micros>(1'000, longest - since(started_))));
+    if (aboard_.size() == 1) {
+      Parcel& p = parcels_[aboard_.front()];
+      request.target("/receive");
+      request.set("X-Request-Id", p.id);
+      if (!p.key.empty()) request.set("Idempotency-Key", p.key);
+      request.body() = std::move(p.body);
     } else {
-      request_.target("/receive-many");
-      for (Parcel& p : parcels_) {
-        request_.body() += p.id + ' ' + (p.key.empty() ? "-" : p.key) + ' ' + std::to_string(p.body.size()) +
-                           "\r\n" + p.body + "\r\n";
-        p.body.clear();
+      request.target("/receive-many");
+      for (const std::size_t i : aboard_) {
+        const Parcel& p = parcels_[i];
+        request.body() += p.id + ' ' + (p.key.empty() ? "-" : p.key) + ' ' + std::to_string(p.body.size()) +
+                          "\r\n" + p.body + "\r\n";
       }
     }
-    request_.prepare_payload();
+    for (Parcel& p : parcels_) p.body.clear();
+    request.prepare_payload();
+    http::request_serializer<http::string_body> serializer(request);
+    error_code error;
+    while (!error && !serializer.is_done()) {
+      serializer.next(error, [&](error_code&, const auto& pieces) {
+        request_ += boost::beast::buffers_to_string(pieces);
+        serializer.consume(boost::beast::buffer_bytes(pieces));
+      });
+    }
+  }
+
+  void write() {
+    while (written_ < request_.size()) {
+      error_code error;
+      written_ += line_->socket.write_some(asio::buffer(request_.data() + written_, request_.size() - written_), error);
+      if (error == asio::error::would_block) {
+        return line_->socket.async_wait(tcp::socket::wait_write, [this, self = shared_from_this()](error_code failed) {
+          if (stage_ == Stage::over) return;
+          if (failed) return breakOff();
+          write();
+        });
+      }
+      if (error) return breakOff();
+    }
+    stage_ = Stage::answering;
+    request_ = {};
+    if (line_->buffer.size() > 0) return read();
+    await();
   }
 
   // Wakes at the next time that something is up: the connect, the answer's end, or the first parcel still
@@ -159,92 +228,118 @@
     if (!next) return;
     timer_.expires_at(*next);
     timer_.async_wait([this, self = shared_from_this()](error_code error) {
-      if (error || over_) return;
+      if (error || stage_ == Stage::over) return;
       const auto now = Clock::now();
       if (connectBy_ && now >= *connectBy_) return breakOff();
-      if (firstLineTells()) return deliveredAnyway();
+      if (hasItsAnswer()) return;
       if (wholeBy_ && now >= *wholeBy_) return spoilt();
-      for (std::size_t i = 0; i < parcels_.size(); ++i) {
-        if (now >= started_ + std::chrono::microseconds(parcels_[i].timeout))
-          tell(i, written_ ? Ending::timedOut : Ending::connectFailed);
-      }
-      if (!closeIfTold()) arm();
+      std::vector<std::size_t> due;
+      for (std::size_t i = 0; i < parcels_.size(); ++i)
+        if (!told_[i] && now >= started_ + std::chrono::microseconds(parcels_[i].timeout)) due.push_back(i);
+      if (!giveUp(due, Ending::timedOut)) arm();
     });
   }
 
-  void send() {
-    auto self = shared_from_this();
-    http::async_write(line_->socket, request_, [this, self](error_code error, std::size_t) {
-      if (over_) return;
-      if (error) return breakOff();
-      written_ = true;
-      awaitAnswer();
-    });
+  // These are not waited for any more. A call of which a part has left never runs if it ends with them; where others
+  // go on, all of it does. True if it has ended.
+  bool giveUp(const std::vector<std::size_t>& which, Ending ending) {
+    const auto left = static_cast<std::size_t>(std::count(told_.begin(), told_.end(), false)) - which.size();
+    const bool last = left == 0;
+    const bool mayRun = stage_ == Stage::answering || (stage_ == Stage::writing && !last);
+    if (last) abandon();
+    for (const std::size_t i : which) tell(i, mayRun ? ending : Ending::connectFailed);
+    if (last) home_.finished(shared_from_this());
+    return last;
   }
 
-  // Answers ahead (1xx) may come at any time before the one that counts; that one, once begun, has to end.
-  void awaitAnswer() {
-    wholeBy_.reset();
-    if (line_->buffer.size() > 0) return readAnswer();
+  // Looks at what stands in the socket before anything is given up. True if that has ended the call.
+  bool hasItsAnswer() {
+    if (stage_ == Stage::answering) read();
+    if (stage_ != Stage::over && firstLineTells()) deliveredAnyway();
+    return stage_ == Stage::over;
+  }
+
+  void await() {
+    if (std::exchange(awaits_, true)) return;
     line_->socket.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code error) {
-      if (over_) return;
+      awaits_ = false;
+      if (stage_ == Stage::over) return;
       if (error) return breakOff();
-      readAnswer();
+      read();
     });
   }
 
-  void readAnswer() {
-    wholeBy_ = Clock::now() + kWholeWithin;
-    arm();
-    http::async_read(line_->socket, line_->buffer, answer_.parser(),
-                     [this, self = shared_from_this()](error_code error, std::size_t) {
-                       if (over_) return;
-                       if (error && firstLineTells()) return deliveredAnyway();
-                       if (error) return ended(error) ? breakOff() : spoilt();
-                       if (!answer_.interim()) return answered();
-                       const bool upgrade =
-                           answer_.parser().get().result() == http::status::switching_protocols;
-                       if (upgrade || ++interim_ > kMostInterim) return spoilt();
-                       answer_.next();
-                       awaitAnswer();
-                     });
+  // Takes in what has come. Answers ahead (1xx) may come at any time before the one that counts; that one, once begun,
+  // has to end.
+  void read() {
+    while (stage_ == Stage::answering) {
+      const Took took = parse();
+      if (took == Took::whole) {
+        if (!answer_.interim()) return answered();
+        if (answer_.parser().get().result() == http::status::switching_protocols || ++interim_ > kMostInterim)
+          return spoilt();
+        answer_.next();
+        wholeBy_.reset();
+        arm();
+        continue;
+      }
+      if (took == Took::unreadable) return firstLineTells() ? deliveredAnyway() : spoilt();
+      error_code error;
+      const std::size_t n = line_->socket.read_some(line_->buffer.prepare(kPiece), error);
+      line_->buffer.commit(n);
+      if (error == asio::error::would_block) return await();
+      if (error) return cutShort(error);
+      if (!wholeBy_) {
+        wholeBy_ = Clock::now() + kWholeWithin;
+        arm();
+      }
+    }
   }
 
-  // The connection's end, and not something that cannot be read.
-  static bool ended(error_code error) {
-    return error.category() != http::make_error_code(http::error::need_more).category() ||
-           error == http::error::end_of_stream || error == http::error::partial_message;
+  enum class Took { more, whole, unreadable };
+  Took parse() {
+    while (line_->buffer.size() > 0) {
+      error_code error;
+      const std::size_t n = answer_.parser().put(line_->buffer.data(), error);
+      line_->buffer.consume(n);
+      if (error == http::error::need_more) return Took::more;
+      if (error) return Took::unreadable;
+      if (answer_.parser().is_done()) return Took::whole;
+      if (n == 0) return Took::more;
+    }
+    return Took::more;
+  }
+
+  // The connection has ended; some answers end with it.
+  void cutShort(error_code why) {
+    if (why == asio::error::eof && answer_.parser().got_some()) {
+      error_code error;
+      answer_.parser().put_eof(error);
+      if (!error && answer_.parser().is_done() && !answer_.interim()) return answered();
+    }
+    firstLineTells() ? deliveredAnyway() : breakOff();
   }
 
   // Before its last byte was written a call cannot have run; afterwards nobody knows.
   void breakOff() {
-    over_ = true;
-    timer_.cancel();
-    line_->close();
+    const Ending ending = stage_ == Stage::answering ? Ending::reset : Ending::connectFailed;
+    abandon();
     for (std::size_t i = 0; i < parcels_.size(); ++i)
-      tell(i, written_ ? Ending::reset : Ending::connectFailed);
+      if (!told_[i]) tell(i, ending);
     home_.finished(shared_from_this());
   }
 
   // Outcomes never come inside the round that sent the call.
   void notSent() {
-    over_ = true;
-    timer_.cancel();
-    if (line_) line_->close();
+    abandon();
     asio::post(home_.io_, [this, self = shared_from_this(), alive = home_.alive_] {
       if (!*alive) return;
-      for (std::size_t i = 0; i < parcels_.size(); ++i) tell(i, Ending::skipped);
+      for (std::size_t i = 0; i < parcels_.size(); ++i)
+        if (!told_[i]) tell(i, Ending::skipped);
       home_.finished(self);
     });
   }
 
-  bool closeIfTold() {
-    if (std::find(told_.begin(), told_.end(), false) != told_.end()) return false;
-    abandon();
-    home_.finished(shared_from_this());
-    return true;
-  }
-
   void tell(std::size_t i, Ending ending) { tell(i, Verdict{ending}, 0); }
   void tell(std::size_t i, const Verdict& verdict, Micros wait) {
     if (told_[i]) {
@@ -264,22 +359,22 @@
     o.spoilt = verdict.spoilt;
     o.crowded = verdict.ending == Ending::busy && crowded_;
     o.report = report_;
-    home_.outcome_(o);
+    starting_ ? home_.later(o) : home_.outcome_(o);  // never inside the round that sent the call
   }
 
   // A first line with 200 to a single message is true, though the rest cannot be read, breaks off or stays
   // away.
-  bool firstLineTells() const { return parcels_.size() == 1 && answer_.says200(); }
+  bool firstLineTells() const { return stage_ == Stage::answering && aboard_.size() == 1 && answer_.says200(); }
   void deliveredAnyway() { finish({Verdict{Ending::done, true}}, 0, false); }
 
   // Something came that is no answer: the call may have run, and the connection is of no further use.
   void spoilt() {
-    finish(std::vector<Verdict>(parcels_.size(), Verdict{Ending::error, false, false, true}), 0, false);
+    finish(std::vector<Verdict>(aboard_.size(), Verdict{Ending::error, false, false, true}), 0, false);
   }
 
   void answered() {
     std::vector<std::string> ids;
-    for (const Parcel& p : parcels_) ids.push_back(p.id);
+    for (const std::size_t i : aboard_) ids.push_back(parcels_[i].id);
     if (home_.settings_.reports == ReportSource::answers) report_ = answer_.report();
     // A limit or a queue that is full keeps the connection; who has no place for one ends it.
     crowded_ = fresh_ && !answer_.parser().keep_alive() &&
@@ -289,14 +384,16 @@
   }
 
   void finish(const std::vector<Verdict>& verdicts, Micros wait, bool reuse) {
-    over_ = true;
+    stage_ = Stage::over;
     timer_.cancel();
     if (reuse) {
+      error_code ignored;
+      if (awaits_) line_->socket.cancel(ignored);
       home_.giveBack(target_, line_);
     } else {
       line_->close();
     }
-    for (std::size_t i = 0; i < parcels_.size(); ++i) tell(i, verdicts[i], wait);
+    for (std::size_t n = 0; n < aboard_.size(); ++n) tell(aboard_[n], verdicts[n], wait);
     home_.finished(shared_from_this());
   }
 
@@ -304,20 +401,29 @@
   TargetId target_;
   std::vector<Parcel> parcels_;
   std::vector<bool> told_;
+  std::vector<std::size_t> aboard_;  // of the parcels, those that the request holds, in its order
   asio::steady_timer timer_;
   Clock::time_point started_ = Clock::now();
   std::optional<Clock::time_point> connectBy_, wholeBy_;
   std::shared_ptr<Line> line_;
-  http::request<http::string_body> request_;
+  std::string request_;
+  std::size_t written_ = 0;  // bytes that the kernel has taken
   Answer answer_;
   Report report_;  // of an answer that was read to its end
   int interim_ = 0;
+  Stage stage_ = Stage::connecting;
   bool fresh_ = false, crowded_ = false;  // its connection was new; and found no place
-  bool written_ = false, over_ = false;
+  bool starting_ = false, awaits_ = false;
 };
 
-Targets::Targets(asio::io_context& io, const Config& config, std::size_t most, OnOutcome outcome, OnLate late)
-    : io_(io), settings_(config.settings), outcome_(std::move(outcome)), late_(std::move(late)), most_(most) {
+Targets::Targets(asio::io_context& io, const Config& config, std::size_t most, Leaving leaving, OnOutcome outcome,
+                 OnLate late)
+    : io_(io),
+      settings_(config.settings),
+      leaving_(std::move(leaving)),
+      outcome_(std::move(outcome)),
+      late_(std::move(late)),
+      most_(most) {
   Micros longest = settings_.maxRetryAfter;
   for (const ClassSettings& c : settings_.classes) longest = std::max(longest, c.deadline);
   longestWait_ = kLongestWaits * longest;
--- a/src/carriers/http/targets.hpp
+++ b/src/carriers/http/targets.hpp
@@ -20,10 +20,13 @@
  public:
   using OnOutcome = std::function<void(const Outcome&)>;
   using OnLate = std::function<void(MessageId)>;
+  // Asked for those of one call that are still waited for, its connection being up and nothing written yet: which may
+  // leave? The others are told as skipped.
+  using Leaving = std::function<std::vector<bool>(const TargetId&, const std::vector<const Parcel*>&)>;
 
   // `most`: connections that it may hold, idle ones among them.
-  Targets(boost::asio::io_context& io, const Config& config, std::size_t most, OnOutcome outcome,
-          OnLate late);
+  Targets(boost::asio::io_context& io, const Config& config, std::size_t most, Leaving leaving,
+          OnOutcome outcome, OnLate late);
   ~Targets() override;
 
   void learn(const Directory& directory) override;
@@ -55,6 +58,7 @@
 
   boost::asio::io_context& io_;
   Settings settings_;
+  Leaving leaving_;
   OnOutcome outcome_;
   OnLate late_;
   Micros longestWait_ = 0;
--- a/src/doors/connections/clients.hpp
+++ b/src/doors/connections/clients.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <list>
 #include <memory>
 
@@ -18,21 +19,23 @@
 template <typename Client>
 using Clients = std::list<std::shared_ptr<Client>>;
 
-// Closes the longest unused of those that can be spared, those first that can be at once. False if there is
-// none.
+// Closes the longest unused of those that can be spared, those first that can be at once. One that turns out to have
+// sent a request stays, and the next is looked for. False if there is none.
 template <typename Client>
 bool makeRoom(const Clients<Client>& clients) {
   const auto now = std::chrono::steady_clock::now();
-  std::shared_ptr<Client> chosen;
-  for (const auto& client : clients) {
-    const Spare spare = client->spare(now);
-    if (spare == Spare::no || (spare == Spare::ifNeeded && chosen != nullptr)) continue;
-    chosen = client;
-    if (spare == Spare::now) break;
+  for (std::size_t tries = clients.size(); tries > 0; --tries) {
+    std::shared_ptr<Client> chosen;
+    for (const auto& client : clients) {
+      const Spare spare = client->spare(now);
+      if (spare == Spare::no || (spare == Spare::ifNeeded && chosen != nullptr)) continue;
+      chosen = client;
+      if (spare == Spare::now) break;
+    }
+    if (chosen == nullptr) return false;
+    if (chosen->makeWay()) return true;
   }
-  if (chosen == nullptr) return false;
-  chosen->close();
-  return true;
+  return false;
 }
 
 }  // namespace quilltide::net
--- a/src/doors/connections/listener.cpp
+++ b/src/doors/connections/listener.cpp
@@ -11,6 +11,7 @@
 using boost::system::error_code;
 
 constexpr auto kPause = std::chrono::milliseconds(20);
+constexpr int kInATurn = 16;  // connections; then those that stand have theirs
 
 }  // namespace
 
@@ -22,6 +23,7 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
   acceptor_.listen(asio::socket_base::max_listen_connections);
+  acceptor_.non_blocking(true);
   accept();
 }
 
@@ -38,21 +40,40 @@
   });
 }
 
+// Nobody is accepted but in these turns: a connection accepted beforehand, whose handler comes after the listener has
+// closed, would be dropped with what it has sent.
 void Listener::accept() {
   if (!hooks_.mayAccept()) return acceptLater();
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
-    if (error) {  // out of descriptors, or the client has gone: neither may end the service
-      std::cerr << name_ << ": accept: " << error.message() << std::endl;
-      if (error == asio::error::no_descriptors) hooks_.outOfDescriptors();
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
+    if (error) return;  // closed
+    for (int n = 0; n < kInATurn && hooks_.mayAccept(); ++n) {
+      const error_code failed = takeOne();
+      if (failed == asio::error::would_block) break;
+      if (!failed) continue;
+      // Out of descriptors, or the client has gone: neither may end the service.
+      std::cerr << name_ << ": accept: " << failed.message() << std::endl;
+      if (failed == asio::error::no_descriptors) hooks_.outOfDescriptors();
       return acceptLater();
     }
-    error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.non_blocking(true, ignored);
-    hooks_.accepted(std::move(socket));
     accept();
   });
 }
 
+error_code Listener::takeOne() {
+  error_code error, ignored;
+  tcp::socket socket(acceptor_.get_executor());
+  acceptor_.accept(socket, error);
+  if (error) return error;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  hooks_.accepted(std::move(socket));
+  return {};
+}
+
+// A listener that closes resets whom it has not accepted, with what they have sent.
+void Listener::takeWaiting() {
+  while (acceptor_.is_open() && hooks_.mayAccept() && !takeOne()) {
+  }
+}
+
 }  // namespace quilltide::net
--- a/src/doors/http/door.cpp
+++ b/src/doors/http/door.cpp
@@ -65,6 +65,11 @@
     return proven_ ? Spare::ifNeeded : Spare::now;
   }
 
+  bool makeWay() {
+    close();
+    return true;
+  }
+
   void drain() {
     if (state_ == State::idle && socket_.available() == 0) close();
   }
@@ -617,6 +622,7 @@
 
 void HttpDoor::finish() {
   finished_ = draining_ = true;
+  listener_.takeWaiting();
   listener_.close();
   for (const auto& client : Clients<Client>(clients_)) client->finish();
 }
--- a/src/doors/resp/door.cpp
+++ b/src/doors/resp/door.cpp
@@ -28,6 +28,7 @@
 // others have theirs, at this door and at the next.
 constexpr std::size_t kAtOnce = 64;
 constexpr std::size_t kInAPace = 2;  // turns of those that had a whole one without a message
+constexpr int kMostPiecesAtTheEnd = 16;  // of 16 KiB, of one client: more than its requests without an answer may hold
 constexpr auto kSweep = milliseconds(100);
 // Who says nothing, or half a request, is owed an end within 3 s; a rest of 2 s may always be ended.
 constexpr auto kSilence = milliseconds(2'200);
@@ -78,10 +79,11 @@
   void finish() {
     constexpr std::size_t all = std::numeric_limits<std::size_t>::max();
     parse(all);
-    if (!ending_) takeIn();
-    parse(all);
+    for (int pieces = 0; pieces < kMostPiecesAtTheEnd && !ending_ && !closed_ && takeIn(); ++pieces) parse(all);
+    if (closed_) return;
     ending_ = true;
     flush();
+    if (lingering_) read();
   }
 
   void answer(std::size_t slot, const std::string& reply) {
@@ -99,11 +101,11 @@
     } else if (waiting()) {
       if (writing_ && rest >= kStalled) close();
     } else if (reader_.unread() > 0 && !more_) {
-      if (rest >= kSilence) {
+      if (rest >= kSilence && !cameAfterAll()) {
         refuse("ERR a request that does not end");
         flush();
       }
-    } else if (!proven_ && rest >= kSilence) {
+    } else if (!proven_ && rest >= kSilence && !cameAfterAll()) {
       close();
     }
   }
@@ -112,11 +114,21 @@
   Spare spare(Clock::time_point now) {
     if (lingering_) return Spare::now;
     if (waiting()) return Spare::no;
-    if (proven_) return now - lastUse_ >= kRest && reader_.unread() == 0 ? Spare::ifNeeded : Spare::no;
     error_code error;
+    if (proven_) {
+      const bool rests = now - lastUse_ >= kRest && reader_.unread() == 0 && socket_.available(error) == 0;
+      return rests ? Spare::ifNeeded : Spare::no;
+    }
     return more_ || (socket_.available(error) > 0 && !error) ? Spare::ifNeeded : Spare::now;
   }
 
+  // Closes for somebody else, but not on a whole request that has come by now.
+  bool makeWay() {
+    if (!lingering_ && cameAfterAll() && !closed_) return false;
+    close();
+    return true;
+  }
+
   void close() {
     if (closed_) return;
     closed_ = true;
@@ -142,6 +154,16 @@
  private:
   bool waiting() const { return !answers_.empty() || !out_.empty() || writing_; }
 
+  // What the socket has ready counts before a connection is given up: its event may be queued behind this one, and
+  // closing on a whole request would lose it. True if there was something to wait for.
+  bool cameAfterAll() {
+    if (more_ || ending_) return false;
+    const auto before = lastUse_;
+    if (!takeIn()) return closed_;
+    turn();
+    return closed_ || waiting() || more_ || lastUse_ != before;
+  }
+
   void touch() {
     lastUse_ = Clock::now();
     home_->clients_.splice(home_->clients_.end(), home_->clients_, place_);
@@ -176,18 +198,22 @@
     read();
   }
 
-  // One piece at a time.
-  void takeIn() {
+  // One piece at a time. False if nothing had come.
+  bool takeIn() {
     error_code error;
     const std::size_t n = socket_.read_some(asio::buffer(home_->scratch_), error);
-    if (error == asio::error::would_block) return;
+    if (error == asio::error::would_block) return false;
     if (error == asio::error::eof) {  // the client ended its sending; what it asked before is still answered
       ending_ = ended_ = true;
-      return;
+      return true;
+    }
+    if (error) {
+      close();
+      return false;
     }
-    if (error) return close();
     if (reader_.unread() == 0) lastUse_ = Clock::now();
     reader_.feed(home_->scratch_.data(), n);
+    return true;
   }
 
   void parse(std::size_t most) {
@@ -325,6 +351,7 @@
 }
 
 void RespDoor::finish() {
+  listener_.takeWaiting();
   listener_.close();
   for (const auto& client : Clients<Client>(clients_)) client->finish();
 }
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -238,7 +238,6 @@
 void Engine::round() {
   tickAt_ = 0;
   const Micros now = steadyNow();
-  const Micros wall = wallNow();
   while (!timers_.empty() && timers_.begin()->first <= now) {
     events_.push_back(TimerDue{timers_.begin()->second});
     timers_.erase(timers_.begin());
@@ -251,11 +250,7 @@
   std::vector<Call> calls;
   for (const Action& action : actions) {
     const auto* call = std::get_if<Call>(&action);
-    if (call == nullptr) continue;
-    if (Owed* owed = owedOf(call->id)) {
-      journal_.attempt(*owed, attempts_[call->id], call->target, wall);
-      calls.push_back(*call);
-    }
+    if (call != nullptr && owedOf(call->id) != nullptr) calls.push_back(*call);
   }
 
   // A door may hand in more as soon as it has its reply: nothing that changes then may be in use here.
@@ -338,6 +333,22 @@
   }
 }
 
+// A connection may have come up long after its call: a wait that was told meanwhile, a drain or a message's own end
+// binds what has not left. Journalled only now: what a kill finds on its way to a connection was never tried.
+std::vector<bool> Engine::leaving(const TargetId& target, const std::vector<const Parcel*>& parcels) {
+  const Micros now = steadyNow(), wall = wallNow();
+  std::vector<bool> may;
+  for (const Parcel* p : parcels) {
+    Owed* owed = owedOf(p->handle);
+    may.push_back(owed != nullptr && !owed->notice && sender_.mayLeave(now, p->handle, target));
+    if (may.back()) journal_.attempt(*owed, p->attempt, target, wall);
+  }
+  if (std::find(may.begin(), may.end(), true) == may.end() || commit()) return may;
+  for (std::size_t i = 0; i < parcels.size(); ++i)
+    if (may[i]) journal_.neverRan(*owedOf(parcels[i]->handle), parcels[i]->attempt);
+  return std::vector<bool>(parcels.size(), false);
+}
+
 // Calls of one round to one target travel together as far as its kind allows.
 void Engine::send(const std::vector<Call>& calls) {
   std::vector<std::pair<TargetId, std::vector<Parcel>>> trips;
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -48,7 +48,9 @@
   const Journal& ledger() const { return journal_; }
   const Names& names() const { return names_; }
 
-  // From carriers.
+  // From carriers. A call whose connection is up asks which of its messages may still leave, right before its first
+  // byte; those are on disk as out when this returns.
+  std::vector<bool> leaving(const TargetId& target, const std::vector<const Parcel*>& parcels);
   void outcome(const Outcome& outcome);
   void late(MessageId handle);
 
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -136,6 +136,17 @@
     return std::move(out_);
   }
 
+  bool mayLeave(Micros now, MessageId id, const TargetId& target) const {
+    const auto at = messages_.find(id);
+    const auto place = endpoints_.find(target);
+    if (at == messages_.end() || place == endpoints_.end()) return false;
+    const Message& m = at->second;
+    const Endpoint& ep = place->second;
+    const Lane& lane = apart(ep) ? ep.lane : ep.home->lane;
+    return m.out > 0 && now < m.deadline && ep.entry.listing == Listing::inService && now >= lane.waitUntil &&
+           mayGoAgain(m, now);
+  }
+
  private:
   // One service tells the list to all and works through their calls in turn, those too whose callers have
   // given up: a fleet that asks all at once, or again too soon, keeps it busy for nobody. So the asks are
@@ -299,11 +310,12 @@
   const ClassSettings& classOf(const Message& m) const { return s_.classes[static_cast<std::size_t>(m.cls)]; }
 
   // Rule: no effect twice. What may have run goes again only as far as its class allows.
-  bool mayGoAgain(const Message& m) const {
+  bool mayGoAgain(const Message& m) const { return mayGoAgain(m, now_); }
+  bool mayGoAgain(const Message& m, Micros when) const {
     if (!m.mayHaveRun) return true;
     const ClassSettings& c = classOf(m);
     if (c.effect == Effect::safe) return true;
-    return c.effect == Effect::keyed && now_ < m.firstRisk + c.keyTtl;
+    return c.effect == Effect::keyed && when < m.firstRisk + c.keyTtl;
   }
   bool mayGoTo(const Message& m, const Endpoint& ep) const {
     if (!m.mayHaveRun || classOf(m).effect != Effect::keyed || classOf(m).group == Group::all) return true;
@@ -1092,5 +1104,8 @@
 std::vector<Action> Sender::round(Micros now, const std::vector<Event>& events) {
   return logic_->round(now, events);
 }
+bool Sender::mayLeave(Micros now, MessageId id, const TargetId& target) const {
+  return logic_->mayLeave(now, id, target);
+}
 
 }  // namespace quilltide
--- /dev/null
+++ b/tests/crossings_test.cpp
@@ -0,0 +1,375 @@
+// Two events that cross, the bad order made to happen each time: by a hook at the seam, by a loop that is not turned, or
+// by a peer that acts at a given byte.
+#include <sys/socket.h>
+
+#include "carriers/http/targets.hpp"
+#include "clock/alarm.hpp"
+#include "directory/values.hpp"
+#include "net_bed.hpp"
+
+namespace quilltide::net::testbed {
+namespace {
+
+using Link = FakeServer::Link;
+using std::chrono::milliseconds;
+
+// ---- Calls ----
+
+class Calls : public NetBed {
+ protected:
+  Calls() {
+    Config c = parseConfig(config, folder.path());
+    targets = std::make_unique<Targets>(
+        *loops.own, c, 10,
+        [this](const TargetId&, const std::vector<const Parcel*>& parcels) {
+          std::vector<bool> may;
+          for (const Parcel* p : parcels) may.push_back(!kept.contains(p->id));
+          return may;
+        },
+        [this](const Outcome& o) { outcomes.push_back(o); }, [this](MessageId id) { late.push_back(id); });
+    targets->learn(c.known);
+  }
+  static Parcel parcel(MessageId handle, Micros timeout = 2'000'000) {
+    return {handle, 0, "m" + std::to_string(handle), "", "body", timeout};
+  }
+  // A first call that leaves its connection idle: the next one's request is with the kernel when call() returns.
+  void warm() {
+    targets->call("t1", {parcel(1)});
+    ASSERT_TRUE(until([&] { return outcomes.size() == 1 && targets->idle("t1") == 1; }));
+    outcomes.clear();
+  }
+  // Turns the target's loop alone: what the carrier is to hear stands in its socket.
+  bool meanwhile(const std::function<bool()>& holds) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!holds() && std::chrono::steady_clock::now() < end) {
+      io.restart();
+      io.poll();
+    }
+    return holds();
+  }
+  std::set<std::string> kept;  // ids that may not leave
+  std::unique_ptr<Targets> targets;
+  std::vector<Outcome> outcomes;
+  std::vector<MessageId> late;
+};
+
+// The kernel has the last byte and no handler of the write has run: the call may have run, and is not told as one that
+// never did.
+TEST_F(Calls, CalledOffRightAfterItsLastByteMayHaveRun) {
+  warm();
+  target.handler = [](Link&) {};
+  targets->call("t1", {parcel(2)});
+  targets->callOff(2, 0);
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_EQ(outcomes[0].ending, Ending::canceled);
+  EXPECT_TRUE(until([&] { return target.requests.size() == 2; }));
+}
+
+// The same for a time-out that is due before the loop turns.
+TEST_F(Calls, TimedOutRightAfterItsLastByteMayHaveRun) {
+  warm();
+  target.handler = [](Link&) {};
+  targets->call("t1", {parcel(2, 1)});
+  std::this_thread::sleep_for(milliseconds(2));
+  ASSERT_TRUE(until([&] { return outcomes.size() == 1; }));
+  EXPECT_EQ(outcomes[0].ending, Ending::timedOut);
+}
+
+// An answer that stands unread in the socket as its call is called off, or times out, is the call's end.
+TEST_F(Calls, AnAnswerThatHasComeGoesBeforeACallOffAndATimeOut) {
+  warm();
+  targets->call("t1", {parcel(2)});
+  ASSERT_TRUE(meanwhile([&] { return target.requests.size() == 2; }));
+  targets->callOff(2, 0);
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_EQ(outcomes[0].ending, Ending::done);
+  targets->call("t1", {parcel(3, 1'000)});
+  ASSERT_TRUE(meanwhile([&] { return target.requests.size() == 3; }));
+  std::this_thread::sleep_for(milliseconds(2));
+  ASSERT_TRUE(until([&] { return outcomes.size() == 2; }));
+  EXPECT_EQ(outcomes[1].ending, Ending::done);
+}
+
+// A message that ended while the connection of its call was coming up is not sent with the others.
+TEST_F(Calls, WhatEndedBeforeTheConnectionCameUpStaysBehind) {
+  targets->call("t1", {parcel(1), parcel(2), parcel(3)});
+  targets->callOff(2, 0);
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_EQ(outcomes[0].ending, Ending::connectFailed);
+  target.handler = [](Link& link) { link.write(FakeServer::answer(200, "m1 ok\r\nm3 ok\r\n")); };
+  ASSERT_TRUE(until([&] { return outcomes.size() == 3; }));
+  ASSERT_EQ(target.requests.size(), 1U);
+  EXPECT_EQ(target.requests[0].body().find("m2"), std::string::npos);
+  EXPECT_EQ(outcomes[1].ending, Ending::done);
+  EXPECT_EQ(outcomes[2].ending, Ending::done);
+}
+
+// What may no longer leave when its connection is up never ran, and the connection serves the next call.
+TEST_F(Calls, WhatMayNoLongerLeaveNeverRanAndLeavesItsConnection) {
+  kept = {"m1"};
+  targets->call("t1", {parcel(1)});
+  ASSERT_TRUE(until([&] { return outcomes.size() == 1; }));
+  EXPECT_EQ(outcomes[0].ending, Ending::skipped);
+  EXPECT_EQ(targets->idle("t1"), 1U);
+  targets->call("t1", {parcel(2)});
+  ASSERT_TRUE(until([&] { return outcomes.size() == 2; }));
+  EXPECT_EQ(target.links.size(), 1U);
+  ASSERT_EQ(target.requests.size(), 1U);
+  EXPECT_EQ(target.requests[0]["X-Request-Id"], "m2");
+}
+
+// A large batch whose target reads nothing: a message given up halfway goes on its way with the others, so it may run;
+// given up with the last of them the request never ends, and nothing of it runs.
+TEST_F(Calls, GivenUpHalfwayMayRunOnlyIfTheOthersGoOn) {
+  tcp::acceptor deaf(io, {asio::ip::make_address("127.0.0.1"), 0});
+  targets->learn(parseDirectory({{"rev", 42},
+                                 {"all", false},
+                                 {"targets", {entry("t2", "127.0.0.1:" + std::to_string(deaf.local_endpoint().port()))}}},
+                                {{}, {"large"}, {"levis"}}));
+  Parcel large = parcel(1), other = parcel(2);
+  large.body = other.body = std::string(16 << 20, 'x');  // more than both kernels' buffers take
+  targets->call("t2", {large, other});
+  loops.until([] { return false; }, milliseconds(100));
+  targets->callOff(1, 0);
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_EQ(outcomes[0].ending, Ending::canceled);
+  targets->callOff(2, 0);
+  ASSERT_EQ(outcomes.size(), 2U);
+  EXPECT_EQ(outcomes[1].ending, Ending::connectFailed);
+}
+
+// A listener whose queue is full: connections to it come up when room is made, after the kernel's next try (1 s).
+class LateTarget {
+ public:
+  explicit LateTarget(asio::io_context& io) : acceptor_(io) {
+    acceptor_.open(tcp::v4());
+    acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
+    acceptor_.listen(0);
+    for (int i = 0; i < 3; ++i) {
+      fill_.emplace_back(io);
+      fill_.back().open(tcp::v4());
+      fill_.back().native_non_blocking(true);
+      const tcp::endpoint to = acceptor_.local_endpoint();
+      ::connect(fill_.back().native_handle(), to.data(), static_cast<socklen_t>(to.size()));  // Asio's would wait
+    }
+  }
+  std::string text() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+  void open() {
+    fill_.clear();
+    accept();
+  }
+  std::size_t bytes = 0;  // that came on any of its connections
+  std::size_t connections = 0;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+      if (error) return;
+      ++connections;
+      links_.push_back(std::make_shared<tcp::socket>(std::move(socket)));
+      read(links_.back());
+      accept();
+    });
+  }
+  void read(std::shared_ptr<tcp::socket> link) {
+    auto piece = std::make_shared<std::array<char, 4096>>();
+    link->async_read_some(asio::buffer(*piece), [this, link, piece](error_code error, std::size_t n) {
+      bytes += n;
+      if (!error) read(link);
+    });
+  }
+  tcp::acceptor acceptor_;
+  std::vector<tcp::socket> fill_;
+  std::vector<std::shared_ptr<tcp::socket>> links_;
+};
+
+// Killed while its connection was coming up, an unsafe message was never tried: its successor tries it.
+TEST_F(NetBed, AMessageKilledOnItsWayToAConnectionIsStillTried) {
+  LateTarget slow(io);
+  config["known"]["targets"] = json::array({entry("t1", slow.text())});
+  start();
+  client->enqueue("m1", "unsafe");
+  ASSERT_EQ(client->line(), "+OK");
+  pause(50);
+  kill();
+  config["known"]["targets"] = json::array({entry("t1", target.text())});
+  start();
+  EXPECT_TRUE(until([&] { return target.requests.size() == 1 && owed() == 0; }));
+  EXPECT_TRUE(discovery.notices.empty());
+  EXPECT_EQ(slow.bytes, 0U);
+}
+
+// A wait that is told while another call's connection comes up holds that call, too: its connection stays, and nothing
+// goes out before the wait is over.
+TEST_F(NetBed, AWaitToldMeanwhileHoldsACallWhoseConnectionComesUpLate) {
+  LateTarget slow(io);
+  config["known"]["targets"] = json::array({entry("t1", target.text()), entry("t2", slow.text())});
+  config["settings"]["familyInfo"]["kindBatch"] = {1};
+  std::optional<std::chrono::steady_clock::time_point> told;
+  std::vector<std::chrono::steady_clock::duration> after;  // what came to the quick one when the wait was told
+  target.handler = [&](Link& link) {
+    if (target.requests.size() == 1) return;  // so that the next call goes to the other one
+    const auto now = std::chrono::steady_clock::now();
+    if (!told) told = now;
+    if (now - *told > milliseconds(100)) after.push_back(now - *told);  // else it was out when the wait was told
+    link.write(FakeServer::answer(429, "", "X-Retry-In-Ms: 2500\r\n"));
+  };
+  start();
+  for (int i = 0; i < 6; ++i) client->enqueue("m" + std::to_string(i), "safe", 16'000);
+  ASSERT_TRUE(until([&] { return !target.requests.empty(); }));
+  target.links[0]->write(FakeServer::answer(200));
+  ASSERT_TRUE(until([&] { return told.has_value(); }));
+  slow.open();
+  ASSERT_TRUE(until([&] { return slow.connections > 0; }));
+  loops.until([&] { return slow.bytes > 0 || !after.empty(); }, milliseconds(4'000));
+  ASSERT_TRUE(slow.bytes > 0 || !after.empty());
+  EXPECT_GE(std::chrono::steady_clock::now() - *told, milliseconds(2'500));
+}
+
+// ---- Alarms ----
+
+// Two that have expired together: the first sets the second anew, whose handler is queued by then and must not run.
+TEST(AlarmOrder, WhatWasSetAnewOrTakenBackDoesNotRun) {
+  asio::io_context loop;
+  clocks::Alarm first(loop), second(loop), third(loop);
+  int ran = 0;
+  first.in(milliseconds(1), [&] {
+    second.in(std::chrono::hours(1), [&] { ran += 100; });
+    third.off();
+  });
+  second.in(milliseconds(2), [&] { ++ran; });
+  third.in(milliseconds(2), [&] { ++ran; });
+  std::this_thread::sleep_for(milliseconds(5));
+  while (loop.poll() > 0) {
+  }
+  EXPECT_EQ(ran, 0);
+}
+
+// ---- Lists ----
+
+std::vector<std::string> valuesOf(const std::string& text, std::size_t cut, int& blanks) {
+  Values values;
+  std::vector<std::string> out;
+  for (const std::string& piece : {text.substr(0, cut), text.substr(cut)}) {
+    values.feed(piece);
+    std::string value;
+    for (Values::Next next; (next = values.next(value)) != Values::Next::more;) {
+      if (next == Values::Next::unreadable) return {"unreadable"};
+      next == Values::Next::value ? out.push_back(value) : void(++blanks);
+    }
+  }
+  return out;
+}
+
+// Indented lists, keep-alives between them and two values in one piece, cut at every byte.
+TEST(ListValues, AreFoundWhereverTheyAreCut) {
+  const json one = {{"rev", 1}, {"t", {"a}\"\\", "{\n"}}}, two = {{"rev", 2}, {"targets", json::array({{{"u", "["}}})}};
+  const std::string text = "\n" + one.dump(2) + "\r\n\n" + two.dump() + two.dump(1) + "\n\n";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    int blanks = 0;
+    const auto found = valuesOf(text, cut, blanks);
+    ASSERT_EQ(found.size(), 3U) << cut;
+    EXPECT_EQ(json::parse(found[0]), one);
+    EXPECT_EQ(json::parse(found[1]), two);
+    EXPECT_EQ(json::parse(found[2]), two);
+    EXPECT_EQ(blanks, 3) << cut;
+  }
+  int blanks = 0;
+  EXPECT_EQ(valuesOf("{\"rev\":1}\nnoise\n", 4, blanks), std::vector<std::string>{"unreadable"});
+  EXPECT_EQ(valuesOf(std::string(100, '{'), 4, blanks), std::vector<std::string>{"unreadable"});
+}
+
+// An indented list is a list, and the watch goes on behind it.
+TEST_F(NetBed, ReadsAnIndentedList) {
+  FakeServer other(io, [](Link& link) { link.write(FakeServer::answer(200)); });
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  const json list = {{"rev", 50},
+                     {"all", false},
+                     {"targets", json::array({entry("t1", target.text(), "left"), entry("t2", other.text())})}};
+  discovery.chunk(list.dump(2));
+  pause(30);
+  client->enqueue("m1", "safe");
+  EXPECT_TRUE(until([&] { return other.requests.size() == 1 && owed() == 0; }));
+  EXPECT_EQ(discovery.watches.size(), 1U);
+}
+
+// How long a watch that falls silent, and the one behind it, may hide a change: under the 6 s after which it binds. Here
+// after half a list, and the new watch is silent from its first byte.
+TEST_F(NetBed, FindsASilentWatchAndASilentOneBehindItWithinTheClock) {
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  discovery.chunk("");
+  std::size_t asked = 1;
+  discovery.server.handler = [&](Link& link) {
+    if (++asked == 2) return;  // and not a byte
+    discovery.take(link);
+  };
+  discovery.chunk("{\"rev\": 51,");
+  const auto silent = std::chrono::steady_clock::now();
+  ASSERT_TRUE(loops.until([&] { return discovery.watches.size() == 2; }, std::chrono::seconds(8)));
+  EXPECT_LT(std::chrono::steady_clock::now() - silent, milliseconds(5'500));
+  EXPECT_EQ(asked, 3U);
+}
+
+// ---- Notices ----
+
+// A kept connection that has fallen silent as a post is written, and one that is closed then: the notice is there within
+// the 300 ms after which it is overdue.
+TEST_F(NetBed, ANoticeIsToldInTimeThoughItsConnectionFellSilentOrCloses) {
+  target.handler = [](Link& link) { link.reset(); };
+  start();
+  client->enqueue("m1", "unsafe");
+  ASSERT_TRUE(until([&] { return discovery.outcomeOf("m1") == "given_up"; }));
+  int trouble = 0;
+  std::optional<std::chrono::steady_clock::time_point> posted;
+  discovery.server.handler = [&](Link& link) {
+    if (link.request.method() == http::verb::post && !posted) {
+      posted = std::chrono::steady_clock::now();
+      return trouble == 0 ? void() : link.reset();
+    }
+    discovery.take(link);
+  };
+  for (const std::string id : {"m2", "m3"}) {
+    posted.reset();
+    client->enqueue(id, "unsafe");
+    ASSERT_TRUE(until([&] { return discovery.outcomeOf(id) == "given_up"; })) << id;
+    EXPECT_LT(std::chrono::steady_clock::now() - *posted, milliseconds(250 * kSlower)) << id;
+    ++trouble;
+  }
+}
+
+// ---- Clients ----
+
+// A whole request that stands in the socket as its connection is given up for rest or silence is taken, not reset.
+TEST_F(NetBed, ARequestThatHasComeIsTakenAsItsConnectionIsGivenUp) {
+  start();
+  const std::string request = FakeClient::command({"ENQUEUE", "0", "late", "c=safe,d=8000,dest=7", "hello"});
+  for (const std::size_t before : {std::size_t(0), std::size_t(7)}) {
+    FakeClient slow(loops, forwarder->address());
+    if (before > 0) slow.write(request.substr(0, before));
+    pause(50);
+    std::this_thread::sleep_for(milliseconds(2'300));  // the loop is not turned; then sweep and request are both due
+    slow.write(request.substr(before));
+    EXPECT_EQ(slow.line(), "+OK") << before;
+  }
+}
+
+// At the end of a drain: connected and not accepted, whole requests in several pieces, an answer not yet read. Each
+// has its answer whole, and the process ends by itself.
+TEST_F(NetBed, EveryRequestOfADrainsLastInstantHasItsAnswer) {
+  start();
+  const std::string big(60'000, 'x');
+  for (int i = 0; i < 3; ++i)
+    client->write(FakeClient::command({"ENQUEUE", "0", "p" + std::to_string(i), "c=safe,d=8000,dest=7", big}));
+  FakeClient waiting(loops, forwarder->address());  // in the backlog: the forwarder's loop has not turned
+  waiting.enqueue("w", "safe");
+  bool drained = false;
+  forwarder->drain(milliseconds(0), [&] { drained = true; });
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(client->line(), "+OK") << i;
+  EXPECT_EQ(waiting.line(), "+OK");
+  EXPECT_TRUE(until([&] { return drained; }));
+}
+
+}  // namespace
+}  // namespace quilltide::net::testbed
--- a/tests/growth_test.cpp
+++ b/tests/growth_test.cpp
@@ -17,7 +17,7 @@
 struct TargetsBed : NetBed {
   TargetsBed() {
     targets = std::make_unique<Targets>(
-        *loops.own, parseConfig(config, "x"), budgetOf(parseConfig(config, "x")).targets,
+        *loops.own, parseConfig(config, "x"), budgetOf(parseConfig(config, "x")).targets, letLeave,
         [this](const Outcome& o) { outcomes.push_back(o); }, [](MessageId) {});
   }
   void call(const TargetId& to) {
@@ -78,7 +78,7 @@
   config["limits"]["sockets"] = 40;
   const std::size_t most = budgetOf(parseConfig(config, "x")).targets;
   targets = std::make_unique<Targets>(
-      *loops.own, parseConfig(config, "x"), budgetOf(parseConfig(config, "x")).targets,
+      *loops.own, parseConfig(config, "x"), budgetOf(parseConfig(config, "x")).targets, letLeave,
       [this](const Outcome& o) { outcomes.push_back(o); }, [](MessageId) {});
   for (std::size_t i = 0; i < 3 * most; ++i) {
     const std::string id = "t" + std::to_string(i);
--- a/tests/net_bed.hpp
+++ b/tests/net_bed.hpp
@@ -227,6 +227,11 @@
           {"pod_group", dest}, {"state", state},       {"capacity_hint", 1.0}, {"boot_ms", 0}};
 }
 
+// For a carrier without an engine: whatever is asked may leave.
+inline std::vector<bool> letLeave(const TargetId&, const std::vector<const Parcel*>& parcels) {
+  return std::vector<bool>(parcels.size(), true);
+}
+
 // One forwarder with one target of destination 7, classes safe, keyed and unsafe.
 class NetBed : public ::testing::Test {
  protected:
--- a/tests/push_test.cpp
+++ b/tests/push_test.cpp
@@ -104,7 +104,7 @@
   const auto ask = [&](const json& settings) {
     Config c = parseConfig(settings, folder.path());
     Targets targets(
-        *loops.own, c, 10, [&](const Outcome& o) { outcomes.push_back(o); }, [](MessageId) {});
+        *loops.own, c, 10, letLeave, [&](const Outcome& o) { outcomes.push_back(o); }, [](MessageId) {});
     targets.learn(c.known);
     targets.call("t1", {Parcel{1, 0, "m1", "", "x", 2'000'000}});
     const std::size_t before = outcomes.size();
