The message that is waited for longest stands first in its call

Followed with a trace of each message (taken, left, outcome, end, raw answers) and of each client's connection, on scratch copies: every message that was taken on had an end in our eyes. Ruled out: answers that stopped short, late answers, answers to clients, silent connections, idle lines, notices. They stand by their time-outs now, the longest first, as X-Deadline tells. The test failed without it.

--- a/src/carriers/http/targets.cpp
+++ b/src/carriers/http/targets.cpp
@@ -151,6 +151,10 @@
     const std::vector<bool> may = home_.leaving_(target_, parcels);
     std::vector<std::size_t> behind;
     for (std::size_t n = 0; n < asked.size(); ++n) (may[n] ? aboard_ : behind).push_back(asked[n]);
+    // The message that is waited for longest stands first, as X-Deadline tells: a call is known by its first message,
+    // and where that one's end had been told the answer counted for none of the others.
+    std::stable_sort(aboard_.begin(), aboard_.end(),
+                     [&](std::size_t a, std::size_t b) { return parcels_[a].timeout > parcels_[b].timeout; });
     if (aboard_.empty()) {
       stage_ = Stage::over;
       timer_.cancel();
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -118,6 +118,27 @@
   EXPECT_EQ(target.requests[0]["X-Request-Id"], "m2");
 }
 
+// Messages of one call end one after the other, and its answer comes when some of them have: it is the answer of the one
+// that stands first, so that one is waited for longest.
+TEST_F(Calls, WhoIsWaitedForLongestStandsFirstInItsCall) {
+  target.handler = [](Link&) {};
+  targets->call("t1", {parcel(1, 50'000), parcel(2, 2'000'000), parcel(3, 100'000), parcel(4, 2'000'000)});
+  ASSERT_TRUE(until([&] { return outcomes.size() == 2; }));
+  EXPECT_EQ(outcomes[0].id, 1U);
+  EXPECT_EQ(outcomes[1].id, 3U);
+  ASSERT_EQ(target.requests.size(), 1U);
+  const std::string& body = target.requests[0].body();
+  EXPECT_EQ(body.find("m2 "), 0U);
+  EXPECT_LT(body.find("m4 "), body.find("m3 "));
+  EXPECT_LT(body.find("m3 "), body.find("m1 "));
+  EXPECT_GE(std::stod(std::string(target.requests[0]["X-Deadline"])), 1.5);
+  target.links[0]->write(FakeServer::answer(200, "m2 ok\r\nm4 ok\r\nm3 ok\r\nm1 ok\r\n"));
+  ASSERT_TRUE(until([&] { return outcomes.size() == 4; }));
+  EXPECT_EQ(outcomes[2].ending, Ending::done);
+  EXPECT_EQ(outcomes[3].ending, Ending::done);
+  EXPECT_EQ(late, (std::vector<MessageId>{3, 1}));
+}
+
 // A large batch whose target reads nothing: a message given up halfway goes on its way with the others, so it may run;
 // given up with the last of them the request never ends, and nothing of it runs.
 TEST_F(Calls, GivenUpHalfwayMayRunOnlyIfTheOthersGoOn) {
