No second copy while a call is out where none is allowed; unlisted kinds; finds are kept

A message timed out or called off while its call went on for others was told at once, and went again beside it. It is told now when that call is over, or when its own time is; what may not be repeated, and is waited for to its end, travels apart there. A kind or zone that the settings do not name was taken for the first one, with its batch: now one message a call, a zone of its own, a line in the log. AsksAgainUntilThereIsRoom expected that a connection is taken though there is no room, since the accept was under way: nobody is accepted outside the listener's turns any more, so the test now asks for none.

--- a/src/carriers/http/targets.cpp
+++ b/src/carriers/http/targets.cpp
@@ -79,6 +79,7 @@
   Exchange(Targets& home, TargetId target, std::vector<Parcel> parcels)
       : home_(home), target_(std::move(target)), parcels_(std::move(parcels)), timer_(home.io_) {
     told_.resize(parcels_.size(), false);
+    givenUp_.resize(parcels_.size());
   }
 
   void start(std::shared_ptr<Line> line, const tcp::endpoint& address) {
@@ -221,14 +222,17 @@
     await();
   }
 
+  Clock::time_point due(std::size_t i) const {
+    const Parcel& p = parcels_[i];
+    return started_ + std::chrono::microseconds(givenUp_[i] ? std::max(p.timeout, p.left) : p.timeout);
+  }
+
   // Wakes at the next time that something is up: the connect, the answer's end, or the first parcel still
   // waited for.
   void arm() {
     std::optional<Clock::time_point> next = connectBy_ ? connectBy_ : wholeBy_;
-    for (std::size_t i = 0; i < parcels_.size(); ++i) {
-      const auto due = started_ + std::chrono::microseconds(parcels_[i].timeout);
-      if (!told_[i] && (!next || due < *next)) next = due;
-    }
+    for (std::size_t i = 0; i < parcels_.size(); ++i)
+      if (!told_[i] && (!next || due(i) < *next)) next = due(i);
     if (!next) return;
     timer_.expires_at(*next);
     timer_.async_wait([this, self = shared_from_this()](error_code error) {
@@ -237,23 +241,30 @@
       if (connectBy_ && now >= *connectBy_) return breakOff();
       if (hasItsAnswer()) return;
       if (wholeBy_ && now >= *wholeBy_) return spoilt();
-      std::vector<std::size_t> due;
+      std::vector<std::size_t> those;
       for (std::size_t i = 0; i < parcels_.size(); ++i)
-        if (!told_[i] && now >= started_ + std::chrono::microseconds(parcels_[i].timeout)) due.push_back(i);
-      if (!giveUp(due, Ending::timedOut)) arm();
+        if (!told_[i] && now >= due(i)) those.push_back(i);
+      giveUp(those, Ending::timedOut);
     });
   }
 
   // These are not waited for any more. A call of which a part has left never runs if it ends with them; where others
-  // go on, all of it does. True if it has ended.
-  bool giveUp(const std::vector<std::size_t>& which, Ending ending) {
-    const auto left = static_cast<std::size_t>(std::count(told_.begin(), told_.end(), false)) - which.size();
-    const bool last = left == 0;
+  // go on, all of it does, and what may not go out as a second copy is told only when it is no longer out, or when
+  // its message ends.
+  void giveUp(const std::vector<std::size_t>& which, Ending ending) {
+    for (const std::size_t i : which)
+      if (!givenUp_[i]) givenUp_[i] = ending;
+    std::size_t waitedFor = 0;
+    for (std::size_t i = 0; i < parcels_.size(); ++i) waitedFor += !told_[i] && !givenUp_[i] ? 1 : 0;
+    const bool last = waitedFor == 0, mayBeCopied = home_.settings_.secondCopies || stage_ == Stage::connecting;
     const bool mayRun = stage_ == Stage::answering || (stage_ == Stage::writing && !last);
+    const auto now = Clock::now();
     if (last) abandon();
-    for (const std::size_t i : which) tell(i, mayRun ? ending : Ending::connectFailed);
-    if (last) home_.finished(shared_from_this());
-    return last;
+    for (std::size_t i = 0; i < parcels_.size(); ++i) {
+      if (told_[i] || !givenUp_[i] || !(last || mayBeCopied || now >= due(i))) continue;
+      tell(i, mayRun ? *givenUp_[i] : Ending::connectFailed);
+    }
+    last ? home_.finished(shared_from_this()) : arm();
   }
 
   // Looks at what stands in the socket before anything is given up. True if that has ended the call.
@@ -405,6 +416,7 @@
   TargetId target_;
   std::vector<Parcel> parcels_;
   std::vector<bool> told_;
+  std::vector<std::optional<Ending>> givenUp_;  // not waited for any more; told at once, or when it is no longer out
   std::vector<std::size_t> aboard_;  // of the parcels, those that the request holds, in its order
   asio::steady_timer timer_;
   Clock::time_point started_ = Clock::now();
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -40,9 +40,17 @@
   return names;
 }
 
+// Its place among the names, or the first one behind them.
 int indexOf(const std::vector<std::string>& names, const std::string& name) {
-  const auto at = std::find(names.begin(), names.end(), name);
-  return at == names.end() ? 0 : static_cast<int>(at - names.begin());
+  return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+// Zones that nobody named are not each other's: keys are kept by zone. The same name has the same number everywhere.
+int unlistedZone(const std::string& name) {
+  constexpr std::uint32_t kStart = 2'166'136'261, kPrime = 16'777'619;  // FNV-1a
+  std::uint32_t sum = kStart;
+  for (const unsigned char c : name) sum = (sum ^ c) * kPrime;
+  return static_cast<int>(sum & 0xffffffU);
 }
 
 std::size_t megabytes(const json& limits, const char* name, std::size_t fallback) {
@@ -86,11 +94,17 @@
     TargetEntry e;
     e.target = item.at("uid").get<std::string>();
     e.destination = item.at("pod_group").get<std::int64_t>();
-    e.kind = indexOf(names.kinds, item.value("model", ""));
-    e.zone = indexOf(names.zones, item.value("az", ""));
     e.rating = item.value("capacity_hint", 1.0);
     const std::string state = item.value("state", "active");
     e.listing = state == "leaving" ? Listing::draining : state == "left" ? Listing::gone : Listing::inService;
+    const std::string kind = item.value("model", ""), zone = item.value("az", "");
+    e.kind = indexOf(names.kinds, kind);
+    e.zone = indexOf(names.zones, zone);
+    const bool unknownKind = e.kind == static_cast<int>(names.kinds.size());
+    const bool unknownZone = e.zone == static_cast<int>(names.zones.size());
+    if (unknownZone) e.zone += unlistedZone(zone);
+    if (unknownKind && e.listing != Listing::gone) out.unlisted.insert("kind '" + kind + "'");
+    if (unknownZone && e.listing != Listing::gone) out.unlisted.insert("zone '" + zone + "'");
     if (e.listing != Listing::gone || item.contains("endpoint"))
       out.addresses[e.target] = parseAddress(item.at("endpoint").get<std::string>());
     out.view.entries.push_back(std::move(e));
@@ -121,6 +135,10 @@
     c.names.classes = namesIn(settings.at("classes"));
     c.names.kinds = namesIn(settings.value("machineTypes", json::array()));
     c.names.zones = namesIn(settings.value("dcs", json::array()));
+    // Behind the kinds that have a name: what is listed as none of them. It takes one message a call, and its endpoints
+    // share one limit, as the most cautious of kinds do.
+    c.settings.kinds.resize(c.names.kinds.size());
+    c.settings.kinds.emplace_back();
     if (text.contains("known")) c.known = parseDirectory(text.at("known"), c.names);
     c.known.view.scope = ViewScope::all;
     return c;
--- a/src/config/platform.hpp
+++ b/src/config/platform.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
   std::int64_t rev = 0;
   DirectoryView view;
   std::map<TargetId, tcp::endpoint> addresses;
+  std::set<std::string> unlisted;  // kinds and zones in it that the settings do not name, for the log
 };
 // "127.0.0.1:8080"; throws std::runtime_error with one plain line on what is none.
 tcp::endpoint parseAddress(const std::string& text);
--- a/src/directory/discovery.cpp
+++ b/src/directory/discovery.cpp
@@ -166,7 +166,7 @@
       std::optional<Directory> list;
       try {
         // A keep-alive before any list says that the watch stands and nothing has changed.
-        list = empty ? Directory{rev_, {ViewScope::changes, {}}, {}}
+        list = empty ? Directory{rev_, {ViewScope::changes, {}}, {}, {}}
                      : parseDirectory(nlohmann::json::parse(text), names_);
       } catch (const std::exception& problem) {
         return lost(problem.what());
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -12,6 +12,7 @@
 using boost::system::error_code;
 
 constexpr Micros kRetryWrite = 50'000;
+constexpr std::size_t kMostUnlisted = 32;  // names that are logged, each once
 constexpr std::size_t kAboutOneArriving = 8'000;  // journal bytes, beside its body
 
 Micros steadyNow() {
@@ -176,6 +177,11 @@
 // A destination whose last target has gone may soon have another: messages for it are taken on for as long as
 // one could wait.
 void Engine::learn(const Directory& directory) {
+  for (const std::string& name : directory.unlisted) {
+    if (unlisted_.size() < kMostUnlisted && unlisted_.insert(name).second)
+      std::cerr << "a target is listed with " << name << ", which the settings do not name: treated with most care"
+                << std::endl;
+  }
   carrier_->learn(directory);
   const Micros now = steadyNow();
   for (const std::int64_t destination : carrier_->destinations()) destinations_[destination] = now;
@@ -349,6 +355,11 @@
   return std::vector<bool>(parcels.size(), false);
 }
 
+// Where no second copy is allowed, what is waited for to its end would keep the others of its call from going again.
+bool Engine::mayShareACall(const Parcel& one, const Parcel& other) const {
+  return settings_.secondCopies || (one.timeout < one.left) == (other.timeout < other.left);
+}
+
 // Calls of one round to one target travel together as far as its kind allows.
 void Engine::send(const std::vector<Call>& calls) {
   std::vector<std::pair<TargetId, std::vector<Parcel>>> trips;
@@ -362,9 +373,10 @@
     p.key = owed.key;
     p.body = owed.body;
     p.timeout = call.timeout == 0 ? left : std::clamp<Micros>(call.timeout, 1, left);
+    p.left = left;
     const std::size_t batch = carrier_->batchOf(call.target);
     auto trip = std::find_if(trips.rbegin(), trips.rend(), [&](const auto& t) {
-      return t.first == call.target && t.second.size() < batch;
+      return t.first == call.target && t.second.size() < batch && mayShareACall(p, t.second.front());
     });
     if (trip == trips.rend()) {
       trips.emplace_back(call.target, std::vector<Parcel>());
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -80,6 +81,7 @@
   using Replies = std::vector<std::pair<Reply, std::vector<OnReply>>>;
   Replies endInRound(const std::vector<Action>& actions);
   void takeOn();
+  bool mayShareACall(const Parcel& one, const Parcel& other) const;
   void send(const std::vector<Call>& calls);
   void takeBack(const std::map<MessageId, Arriving>& arrived, const std::vector<Call>& calls);
   void release(const std::string& id);
@@ -92,6 +94,7 @@
   Directory known_;
   std::map<std::int64_t, Micros> destinations_;  // and when each was last seen to have a target
   Micros keepDestination_ = 0;
+  std::set<std::string> unlisted_;  // names that were logged
   Journal journal_;
   Sender sender_;
   Carrier* carrier_ = nullptr;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -131,10 +131,12 @@
   int riskZone = -1;
   TargetId riskTarget;
   bool stopped = false;  // counted as a ticket stop since its last call
+  bool found = false;    // by a restart
 
   // Attempts from before a restart bind like this sender's own.
   void resume(const Recovered& past, Micros now, int zone) {
     stopped = true;  // it was held before: a backlog that wakes with its sender must not trip what is well
+    found = true;
     attempts = past.attempts;
     mayHaveRun = past.mayHaveRun;
     if (!mayHaveRun) return;
--- a/tests/connections_test.cpp
+++ b/tests/connections_test.cpp
@@ -128,19 +128,27 @@
   }
 }
 
-// Without room nobody is taken, nobody is turned away, and once there is room the loop goes on by itself.
+// Without room nobody is taken, also not who comes while the listener waits for one already; nobody is turned away, and
+// once there is room the loop goes on by itself.
 TEST_F(ListenerBed, AsksAgainUntilThereIsRoom) {
-  const tcp::socket first = connect();  // the accept that was under way before
+  const tcp::socket first = connect();
   ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
   room = false;
-  const tcp::socket second = connect();
-  ASSERT_TRUE(loops.until([&] { return sockets.size() == 2; }));
-  const tcp::socket third = connect();
-  EXPECT_FALSE(loops.until([&] { return sockets.size() == 3; }, milliseconds(100)));
+  const tcp::socket second = connect(), third = connect();
+  EXPECT_FALSE(loops.until([&] { return sockets.size() == 2; }, milliseconds(100)));
   room = true;
   EXPECT_TRUE(loops.until([&] { return sockets.size() == 3; }));
 }
 
+// Who has connected by the time that the listener closes is taken first; a turn takes several, but not without end.
+TEST_F(ListenerBed, TakesWhoeverHasConnectedBeforeItCloses) {
+  std::vector<tcp::socket> waiting;
+  for (int i = 0; i < 40; ++i) waiting.push_back(connect());
+  listener.takeWaiting();
+  listener.close();
+  EXPECT_EQ(sockets.size(), 40U);
+}
+
 TEST_F(ListenerBed, TakesNobodyOnceClosed) {
   const tcp::endpoint at = listener.address();
   listener.close();
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -17,7 +17,8 @@
 
 class Calls : public NetBed {
  protected:
-  Calls() {
+  Calls() { make(); }
+  void make() {
     Config c = parseConfig(config, folder.path());
     targets = std::make_unique<Targets>(
         *loops.own, c, 10,
@@ -139,6 +140,62 @@
   EXPECT_EQ(late, (std::vector<MessageId>{3, 1}));
 }
 
+// Where no second copy is allowed, what is timed out or called off while its call goes on for others is told, and so may
+// go again, only when the call's connection has closed; a message that ends meanwhile is told at once.
+TEST_F(Calls, WhatIsStillOutIsNotToldWhereNoSecondCopyIsAllowed) {
+  config["settings"]["limits"]["secondCopies"] = false;
+  make();
+  target.handler = [](Link&) {};
+  std::vector<Parcel> those = {parcel(1, 50'000), parcel(2, 100'000), parcel(3, 400'000), parcel(4, 400'000)};
+  for (Parcel& p : those) p.left = 5'000'000;
+  those[1].left = 100'000;
+  targets->call("t1", those);
+  ASSERT_TRUE(until([&] { return target.requests.size() == 1; }));
+  targets->callOff(4, 0);
+  ASSERT_TRUE(until([&] { return outcomes.size() == 1; }));
+  EXPECT_EQ(outcomes[0].id, 2U);
+  EXPECT_EQ(outcomes[0].ending, Ending::timedOut);
+  EXPECT_EQ(target.ended, 0);
+  ASSERT_TRUE(until([&] { return outcomes.size() == 4; }));
+  EXPECT_EQ(outcomes[1].id, 1U);
+  EXPECT_EQ(outcomes[3].ending, Ending::canceled);
+  EXPECT_TRUE(until([&] { return target.ended == 1; }));
+}
+
+// There, too, what is waited for to its end does not travel with what would go again before.
+TEST_F(NetBed, UnsafeOnesTravelApartWhereNoSecondCopyIsAllowed) {
+  config["settings"]["limits"]["secondCopies"] = false;
+  config["known"]["targets"] = json::array({entry("t1", target.text(), "leaving")});
+  target.handler = [](Link& link) {
+    std::string lines;
+    std::istringstream body(link.request.body());
+    for (std::string line; std::getline(body, line);)
+      if (line.ends_with(" 5\r")) lines += line.substr(0, line.find(' ')) + " ok\r\n";
+    link.write(FakeServer::answer(200, lines));
+  };
+  start();
+  for (int i = 0; i < 4; ++i) {
+    client->enqueue("s" + std::to_string(i), "safe");
+    client->enqueue("u" + std::to_string(i), "unsafe");
+  }
+  for (int i = 0; i < 8; ++i) ASSERT_EQ(client->line(), "+OK");
+  discovery.chunk(json{{"rev", 50}, {"all", true}, {"targets", json::array({entry("t1", target.text())})}}.dump());
+  ASSERT_TRUE(until([&] { return owed() == 0; }));
+  bool several = false;
+  for (const auto& request : target.requests) {
+    const std::string& body = request.body();
+    several = several || request.target() == "/receive-many";
+    EXPECT_FALSE(body.find("s0 ") < body.npos && body.find("u0 ") < body.npos);
+    if (request.target() != "/receive-many") continue;
+    std::set<char> kinds;
+    std::istringstream lines(body);
+    for (std::string line; std::getline(lines, line);)
+      if (line.ends_with(" 5\r")) kinds.insert(line.front());
+    EXPECT_EQ(kinds.size(), 1U) << body;
+  }
+  EXPECT_TRUE(several);
+}
+
 // A large batch whose target reads nothing: a message given up halfway goes on its way with the others, so it may run;
 // given up with the last of them the request never ends, and nothing of it runs.
 TEST_F(Calls, GivenUpHalfwayMayRunOnlyIfTheOthersGoOn) {
@@ -360,6 +417,64 @@
   }
 }
 
+// ---- Restarts ----
+
+// A thousand that were taken on and never tried, a list that comes late, a target with a low limit: all that can still
+// be in time are tried, counted by the target itself.
+TEST_F(NetBed, AThousandFoundUntriedAreStillTried) {
+  constexpr int kAll = 1'000, kEachSecond = 400;
+  config["known"]["targets"] = json::array({entry("t1", target.text(), "leaving")});  // takes nothing new
+  config["settings"]["limits"]["maxOpen"] = kAll + 100;
+  config["limits"]["disk_mb"] = 30;
+  config["settings"]["familyInfo"]["kindBatch"] = {1};
+  start();
+  for (int i = 0; i < kAll; ++i) client->enqueue("m" + std::to_string(i), i % 2 == 0 ? "safe" : "unsafe", 12'000);
+  for (int i = 0; i < kAll; ++i) ASSERT_EQ(client->line(), "+OK") << i;
+  kill();
+  ASSERT_EQ(Journal(folder.path(), 30'000'000).owed().size(), static_cast<std::size_t>(kAll));
+  std::set<std::string> called;
+  int taken = 0;
+  auto since = std::chrono::steady_clock::now();
+  target.handler = [&](Link& link) {
+    called.insert(std::string(link.request["X-Request-Id"]));
+    const auto now = std::chrono::steady_clock::now();
+    if (now - since >= std::chrono::seconds(1)) std::tie(since, taken) = std::pair(now, 0);
+    link.write(++taken <= kEachSecond ? FakeServer::answer(200) : FakeServer::answer(429, "", "X-Retry-In-Ms: 200\r\n"));
+  };
+  discovery.first = "";
+  start();
+  pause(700);
+  ASSERT_EQ(discovery.watches.size(), 2U);
+  discovery.chunk(json{{"rev", 50}, {"all", true}, {"targets", json::array({entry("t1", target.text())})}}.dump());
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+  while (std::chrono::steady_clock::now() < end && called.size() < kAll) pause(50);
+  int givenUpUncalled = 0;
+  for (const json& n : discovery.notices) givenUpUncalled += called.contains(n.value("message", "")) ? 0 : 1;
+  EXPECT_EQ(givenUpUncalled, 0);
+  EXPECT_EQ(called.size(), static_cast<std::size_t>(kAll));
+}
+
+// ---- Settings ----
+
+// What the settings do not name gets the most careful treatment: one message a call, and no other's zone.
+TEST_F(NetBed, AnUnlistedKindTakesOneMessageACall) {
+  json stranger = entry("t1", target.text());
+  stranger["model"] = "of-another-customer";
+  stranger["az"] = "nowhere";
+  config["known"]["targets"] = json::array({stranger});
+  const Config c = parseConfig(config, folder.path());
+  const TargetEntry& e = c.known.view.entries.front();
+  ASSERT_LT(static_cast<std::size_t>(e.kind), c.settings.kinds.size());
+  EXPECT_EQ(c.settings.kinds[static_cast<std::size_t>(e.kind)].batch, 1);
+  EXPECT_EQ(c.settings.kinds[0].batch, 10);
+  EXPECT_NE(e.zone, 0);
+  EXPECT_EQ(c.known.unlisted, (std::set<std::string>{"kind 'of-another-customer'", "zone 'nowhere'"}));
+  start();
+  for (int i = 0; i < 20; ++i) client->enqueue("m" + std::to_string(i), "safe");
+  ASSERT_TRUE(until([&] { return target.requests.size() == 20 && owed() == 0; }));
+  for (const auto& request : target.requests) EXPECT_EQ(request.target(), "/receive");
+}
+
 // ---- Clients ----
 
 // A whole request that stands in the socket as its connection is given up for rest or silence is taken, not reset.
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -313,6 +313,37 @@
   EXPECT_EQ(bed.ended(), 1U);
 }
 
+// What a restart found untried is still tried: it goes for no newcomer, however much more that one is worth.
+TEST(Room, WhatARestartFoundUntriedGoesForNoNewcomer) {
+  Settings s = Bed::plain();
+  s.maxOpen = 40;
+  s.classes.push_back({2'500'000, 16'000'000, 5, 0.3, Effect::safe, Group::all, 0});
+  Bed bed(s);
+  bed.list({});
+  std::vector<Event> found;
+  for (MessageId id = 1'000; id < 1'038; ++id) {
+    Arrival a;
+    a.id = id;
+    a.destination = 1;
+    a.left = 9'000'000;
+    a.recovered = Recovered{};
+    found.push_back(a);
+  }
+  bed.give(found);
+  for (int i = 0; i < 200; ++i) {
+    const MessageId newcomer = bed.arrive(1);
+    bed.step(20'000);
+    EXPECT_TRUE(bed.refused(newcomer)) << i;  // at once: it may come again
+  }
+  for (MessageId id = 1'000; id < 1'038; ++id) EXPECT_FALSE(bed.refused(id)) << id;
+  bed.list({"t1"});
+  for (int i = 0; i < 400; ++i) {
+    bed.step(10'000);
+    while (bed.out() > 0) bed.finish(Ending::done);
+  }
+  EXPECT_EQ(bed.ended(), 238U);
+}
+
 TEST(Settings, ExtremesAreAnsweredOnce) {
   Settings s = Bed::plain();
   s.slots = s.maxOpen = s.maxAttempts = 1;
