--- a/tests/regression_test.py
+++ b/tests/regression_test.py
@@ -82,6 +82,16 @@
         self.assertEqual(self.calls(), [f"score {site} --panel later --quick --why A change",
                                         f"score {site} --panel later --why A change"])
 
+    def test_a_panel_that_is_always_played_whole_is_not_asked_for_its_short_form(self):
+        global PANELS
+        before, PANELS = PANELS, PANELS.replace("full_form = true", "full_form = false\nwhole = true")
+        try:
+            done = self.play([{"entry": entry(0.8)}], "--why", "A change")
+        finally:
+            PANELS = before
+        self.assertEqual(done.returncode, 0, done.stdout)
+        self.assertEqual(self.calls(), [f"score {self.root.resolve() / 'site.toml'} --panel later --why A change"])
+
     def test_a_fall_is_played_again_and_a_second_good_play_holds(self):
         done = self.play([{"entry": entry(0.76)}, {"entry": entry(0.79)}])
         self.assertEqual(done.returncode, 0, done.stdout)
