--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -100,6 +100,7 @@
       past.riskTarget = attempt.target;
     }
     attempts_[owed->handle] = past.attempts;
+    if (past.attempts == 0) found_.waiting.insert(owed->handle);
     a.recovered = past;
     events_.push_back(a);
     ++resumed;
@@ -109,6 +110,15 @@
   if (resumed + noticed_ > 0) {
     std::cerr << "recovered " << resumed << " messages and " << noticed_ << " notices" << std::endl;
   }
+  found_.all = found_.waiting.size();
+}
+
+void Engine::foundIsOver(MessageId handle, bool called) {
+  if (found_.waiting.erase(handle) == 0) return;
+  if (called) ++found_.called;
+  if (!found_.waiting.empty()) return;
+  std::cerr << "of " << found_.all << " messages found untried " << found_.called << " were called, "
+            << found_.all - found_.called << " ended with no call" << std::endl;
 }
 
 bool Engine::sameAsArriving(MessageId handle, const Submission& message) const {
@@ -313,6 +323,7 @@
       ids_.erase(handle);
       arriving_.erase(at);
     } else if (Owed* owed = owedOf(handle); owed != nullptr && !owed->notice) {
+      foundIsOver(handle, false);
       const Notice notice{refuse != nullptr, (pause + 999) / 1000};
       journal_.owe(*owed, notice);
       journal_.answer(*owed, notice.handedBack ? Final::handedBack : Final::givenUp, notice.retryInMs,
@@ -348,6 +359,7 @@
     Owed* owed = owedOf(p->handle);
     may.push_back(owed != nullptr && !owed->notice && sender_.mayLeave(now, p->handle, target));
     if (may.back()) journal_.attempt(*owed, p->attempt, target, wall);
+    if (may.back()) foundIsOver(p->handle, true);
   }
   if (std::find(may.begin(), may.end(), true) == may.end() || commit()) return may;
   for (std::size_t i = 0; i < parcels.size(); ++i)
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -73,6 +73,7 @@
   };
 
   void recover();
+  void foundIsOver(MessageId handle, bool called);
   bool sameAsArriving(MessageId handle, const Submission& message) const;
   void learn(const Directory& directory);
   void schedule(Micros at);
@@ -112,6 +113,11 @@
   std::size_t arrivingBytes_ = 0;  // the most that they may need in the journal
   std::unordered_map<MessageId, std::string> ids_;
   std::unordered_map<MessageId, int> attempts_;  // made so far
+  // What the start found taken on and untried, until each was called or ended: the log tells how many had no call.
+  struct Found {
+    std::set<MessageId> waiting;
+    std::size_t all = 0, called = 0;
+  } found_;
   std::vector<std::string> untold_;              // notices that are not yet on disk
   std::size_t noticed_ = 0;                      // owed by a notice alone
   std::uint64_t toldPosition_ = 0;               // of the last answer that subscribers have heard
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -178,6 +178,8 @@
     d.lane.asked.add(now_, askedFor(), 1);
     for (auto& [target, ep] : d.endpoints)
       ep->lane.asked.add(now_, askedFor(), 1.0 / static_cast<double>(d.endpoints.size()));
+    // Untried through a restart: its turn is a newcomer's, or it would wait behind all that has come since.
+    if (a.recovered && a.recovered->attempts == 0) m.handedIn = now_;
     if (a.recovered) m.resume(*a.recovered, now_, zoneOf(a.recovered->riskTarget));
     hold(messages_[m.id] = m);
   }
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -344,6 +344,36 @@
   EXPECT_EQ(bed.ended(), 238U);
 }
 
+// Nor does it wait behind all that has come since, where the destination takes just as much as comes.
+TEST(Room, WhatARestartFoundUntriedHasItsTurnAmongNewcomers) {
+  Settings s = Bed::plain();
+  s.slots = 1;
+  s.decay = Decay::halves;
+  Bed bed(s);
+  bed.list({"t1"});
+  std::vector<Event> found;
+  for (MessageId id = 1'000; id < 1'020; ++id) {
+    Arrival a;
+    a.id = id;
+    a.destination = 1;
+    a.left = 8'000'000;
+    a.recovered = Recovered{};
+    found.push_back(a);
+  }
+  bed.give(found);
+  std::set<MessageId> called;
+  for (int i = 0; i < 70; ++i) {
+    bed.arrive();
+    for (int k = 0; k < 5; ++k) bed.step(20'000);
+    if (bed.out() == 0) continue;
+    called.insert(bed.oldest().id);
+    bed.finish(Ending::done);
+  }
+  int tried = 0;
+  for (MessageId id = 1'000; id < 1'020; ++id) tried += called.contains(id) ? 1 : 0;
+  EXPECT_EQ(tried, 20);
+}
+
 TEST(Settings, ExtremesAreAnsweredOnce) {
   Settings s = Bed::plain();
   s.slots = s.maxOpen = s.maxAttempts = 1;
