--- a/include/quilltide/sender.hpp
+++ b/include/quilltide/sender.hpp
@@ -175,9 +175,9 @@
 
   // One round: the clock and what happened, in order; returns what to do, in order.
   std::vector<Action> round(Micros now, const std::vector<Event>& events);
-  // May a call that a round asked for, and of which nothing has left yet, still be sent to this target? What has been
-  // told since binds it: a wait, the target's drain, the message's end, its key's time. Where a call leaves in the
-  // round itself, as on the simulator, there is nothing to ask.
+  // May a call that a round asked for, and of which nothing has left yet, still be sent to this target? What
+  // has been told since binds it: a wait, the target's drain, the message's end, its key's time. Where a call
+  // leaves in the round itself, as on the simulator, there is nothing to ask.
   bool mayLeave(Micros now, MessageId id, const TargetId& target) const;
 
  private:
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -8,8 +8,9 @@
 namespace quilltide::net {
 namespace {
 
-// Connections end in order before the process does: what was asked is answered, what still comes is read away, and
-// clients have the time to read and to close. A process that ends on bytes unread resets its last answers.
+// Connections end in order before the process does: what was asked is answered, what still comes is read
+// away, and clients have the time to read and to close. A process that ends on bytes unread resets its last
+// answers.
 constexpr auto kClosing = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -19,9 +20,10 @@
     : engine_(io, config, product.keep(), std::move(owner)),
       targets_(
           io, config, budgetOf(config, product).targets,
-          [this](const TargetId& to, const std::vector<const Parcel*>& those) { return engine_.leaving(to, those); },
-          [this](const Outcome& o) { engine_.outcome(o); },
-          [this](MessageId id) { engine_.late(id); }),
+          [this](const TargetId& to, const std::vector<const Parcel*>& those) {
+            return engine_.leaving(to, those);
+          },
+          [this](const Outcome& o) { engine_.outcome(o); }, [this](MessageId id) { engine_.late(id); }),
       discovery_(
           io, config, [this](std::optional<Directory> d) { engine_.directory(std::move(d)); },
           [this](const std::vector<std::string>& ids) { engine_.noticed(ids); }),
--- a/src/carriers/http/targets.cpp
+++ b/src/carriers/http/targets.cpp
@@ -24,7 +24,7 @@
 
 constexpr auto kWholeWithin = std::chrono::milliseconds(500);  // from an answer's first byte to its last
 constexpr int kMostInterim = 16;                               // answers ahead of the one that counts
-constexpr int kLongestWaits = 10;  // the longest wait that is heeded, in longest deadlines
+constexpr int kLongestWaits = 10;         // the longest wait that is heeded, in longest deadlines
 constexpr std::size_t kPiece = 4 * 1024;  // bytes read at a time
 constexpr auto kIdleMargin = std::chrono::milliseconds(500);  // a request must not cross the target's close
 
@@ -71,9 +71,9 @@
   bool counted_ = true;
 };
 
-// One call: its request, its answer, and what became of each of its parcels. What the kernel has taken and what it
-// has brought is known here at once, without a handler in between: a time-out or a call-off that comes first tells the
-// truth.
+// One call: its request, its answer, and what became of each of its parcels. What the kernel has taken and
+// what it has brought is known here at once, without a handler in between: a time-out or a call-off that
+// comes first tells the truth.
 class Targets::Exchange : public std::enable_shared_from_this<Targets::Exchange> {
  public:
   Exchange(Targets& home, TargetId target, std::vector<Parcel> parcels)
@@ -139,8 +139,8 @@
     over
   };
 
-  // The connection is up, maybe long after the call: what may no longer leave, or is not waited for any more, stays
-  // behind, and the rest is put together only now.
+  // The connection is up, maybe long after the call: what may no longer leave, or is not waited for any more,
+  // stays behind, and the rest is put together only now.
   void leave() {
     std::vector<std::size_t> asked;
     std::vector<const Parcel*> parcels;
@@ -152,8 +152,8 @@
     const std::vector<bool> may = home_.leaving_(target_, parcels);
     std::vector<std::size_t> behind;
     for (std::size_t n = 0; n < asked.size(); ++n) (may[n] ? aboard_ : behind).push_back(asked[n]);
-    // The message that is waited for longest stands first, as X-Deadline tells: a call is known by its first message,
-    // and where that one's end had been told the answer counted for none of the others.
+    // The message that is waited for longest stands first, as X-Deadline tells: a call is known by its first
+    // message, and where that one's end had been told the answer counted for none of the others.
     std::stable_sort(aboard_.begin(), aboard_.end(),
                      [&](std::size_t a, std::size_t b) { return parcels_[a].timeout > parcels_[b].timeout; });
     if (aboard_.empty()) {
@@ -206,13 +206,15 @@
   void write() {
     while (written_ < request_.size()) {
       error_code error;
-      written_ += line_->socket.write_some(asio::buffer(request_.data() + written_, request_.size() - written_), error);
+      written_ += line_->socket.write_some(
+          asio::buffer(request_.data() + written_, request_.size() - written_), error);
       if (error == asio::error::would_block) {
-        return line_->socket.async_wait(tcp::socket::wait_write, [this, self = shared_from_this()](error_code failed) {
-          if (stage_ == Stage::over) return;
-          if (failed) return breakOff();
-          write();
-        });
+        return line_->socket.async_wait(tcp::socket::wait_write,
+                                        [this, self = shared_from_this()](error_code failed) {
+                                          if (stage_ == Stage::over) return;
+                                          if (failed) return breakOff();
+                                          write();
+                                        });
       }
       if (error) return breakOff();
     }
@@ -248,15 +250,16 @@
     });
   }
 
-  // These are not waited for any more. A call of which a part has left never runs if it ends with them; where others
-  // go on, all of it does, and what may not go out as a second copy is told only when it is no longer out, or when
-  // its message ends.
+  // These are not waited for any more. A call of which a part has left never runs if it ends with them; where
+  // others go on, all of it does, and what may not go out as a second copy is told only when it is no longer
+  // out, or when its message ends.
   void giveUp(const std::vector<std::size_t>& which, Ending ending) {
     for (const std::size_t i : which)
       if (!givenUp_[i]) givenUp_[i] = ending;
     std::size_t waitedFor = 0;
     for (std::size_t i = 0; i < parcels_.size(); ++i) waitedFor += !told_[i] && !givenUp_[i] ? 1 : 0;
-    const bool last = waitedFor == 0, mayBeCopied = home_.settings_.secondCopies || stage_ == Stage::connecting;
+    const bool last = waitedFor == 0,
+               mayBeCopied = home_.settings_.secondCopies || stage_ == Stage::connecting;
     const bool mayRun = stage_ == Stage::answering || (stage_ == Stage::writing && !last);
     const auto now = Clock::now();
     if (last) abandon();
@@ -284,8 +287,8 @@
     });
   }
 
-  // Takes in what has come. Answers ahead (1xx) may come at any time before the one that counts; that one, once begun,
-  // has to end.
+  // Takes in what has come. Answers ahead (1xx) may come at any time before the one that counts; that one,
+  // once begun, has to end.
   void read() {
     while (stage_ == Stage::answering) {
       const Took took = parse();
@@ -379,7 +382,9 @@
 
   // A first line with 200 to a single message is true, though the rest cannot be read, breaks off or stays
   // away.
-  bool firstLineTells() const { return stage_ == Stage::answering && aboard_.size() == 1 && answer_.says200(); }
+  bool firstLineTells() const {
+    return stage_ == Stage::answering && aboard_.size() == 1 && answer_.says200();
+  }
   void deliveredAnyway() { finish({Verdict{Ending::done, true}}, 0, false); }
 
   // Something came that is no answer: the call may have run, and the connection is of no further use.
@@ -416,7 +421,8 @@
   TargetId target_;
   std::vector<Parcel> parcels_;
   std::vector<bool> told_;
-  std::vector<std::optional<Ending>> givenUp_;  // not waited for any more; told at once, or when it is no longer out
+  std::vector<std::optional<Ending>>
+      givenUp_;                      // not waited for any more; told at once, or when it is no longer out
   std::vector<std::size_t> aboard_;  // of the parcels, those that the request holds, in its order
   asio::steady_timer timer_;
   Clock::time_point started_ = Clock::now();
@@ -432,8 +438,8 @@
   bool starting_ = false, awaits_ = false;
 };
 
-Targets::Targets(asio::io_context& io, const Config& config, std::size_t most, Leaving leaving, OnOutcome outcome,
-                 OnLate late)
+Targets::Targets(asio::io_context& io, const Config& config, std::size_t most, Leaving leaving,
+                 OnOutcome outcome, OnLate late)
     : io_(io),
       settings_(config.settings),
       leaving_(std::move(leaving)),
--- a/src/carriers/http/targets.hpp
+++ b/src/carriers/http/targets.hpp
@@ -20,8 +20,8 @@
  public:
   using OnOutcome = std::function<void(const Outcome&)>;
   using OnLate = std::function<void(MessageId)>;
-  // Asked for those of one call that are still waited for, its connection being up and nothing written yet: which may
-  // leave? The others are told as skipped.
+  // Asked for those of one call that are still waited for, its connection being up and nothing written yet:
+  // which may leave? The others are told as skipped.
   using Leaving = std::function<std::vector<bool>(const TargetId&, const std::vector<const Parcel*>&)>;
 
   // `most`: connections that it may hold, idle ones among them.
--- a/src/clock/alarm.hpp
+++ b/src/clock/alarm.hpp
@@ -10,9 +10,9 @@
 
 namespace quilltide::clocks {
 
-// Only what was set last runs. A plain timer that has expired has its handler queued, and that runs with no error
-// though the timer was set anew or cancelled since: for whom the time counts from the last sign of life it comes at the
-// wrong instant. Nothing runs after the end of the alarm itself. One thread.
+// Only what was set last runs. A plain timer that has expired has its handler queued, and that runs with no
+// error though the timer was set anew or cancelled since: for whom the time counts from the last sign of life
+// it comes at the wrong instant. Nothing runs after the end of the alarm itself. One thread.
 class Alarm {
  public:
   explicit Alarm(boost::asio::io_context& io) : timer_(io) {}
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -45,7 +45,8 @@
   return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
-// Zones that nobody named are not each other's: keys are kept by zone. The same name has the same number everywhere.
+// Zones that nobody named are not each other's: keys are kept by zone. The same name has the same number
+// everywhere.
 int unlistedZone(const std::string& name) {
   constexpr std::uint32_t kStart = 2'166'136'261, kPrime = 16'777'619;  // FNV-1a
   std::uint32_t sum = kStart;
@@ -135,8 +136,8 @@
     c.names.classes = namesIn(settings.at("classes"));
     c.names.kinds = namesIn(settings.value("machineTypes", json::array()));
     c.names.zones = namesIn(settings.value("dcs", json::array()));
-    // Behind the kinds that have a name: what is listed as none of them. It takes one message a call, and its endpoints
-    // share one limit, as the most cautious of kinds do.
+    // Behind the kinds that have a name: what is listed as none of them. It takes one message a call, and its
+    // endpoints share one limit, as the most cautious of kinds do.
     c.settings.kinds.resize(c.names.kinds.size());
     c.settings.kinds.emplace_back();
     if (text.contains("known")) c.known = parseDirectory(text.at("known"), c.names);
--- a/src/directory/discovery.cpp
+++ b/src/directory/discovery.cpp
@@ -16,14 +16,15 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
-// An empty line comes every 2 s while nothing changes, and what a silent watch misses binds 6 s after its silence began.
+// An empty line comes every 2 s while nothing changes, and what a silent watch misses binds 6 s after its
+// silence began.
 constexpr auto kSilence = milliseconds(3'000);
-// A watch that takes a silent one's place has so long for its first line, then twice as long: with the silence itself
-// two of them fit into the 6 s. Else a service that is asked by all at once may take its time.
+// A watch that takes a silent one's place has so long for its first line, then twice as long: with the
+// silence itself two of them fit into the 6 s. Else a service that is asked by all at once may take its time.
 constexpr auto kFirstLine = milliseconds(1'200);
 constexpr auto kPatience = milliseconds(5'000);
 constexpr int kSilentInARow = 3;
-constexpr double kSpreadMs = 200;            // watches that fell silent together are not all opened at one instant
+constexpr double kSpreadMs = 200;  // watches that fell silent together are not all opened at one instant
 constexpr std::size_t kProgress = 4 * 1024;  // bytes of a long list that are a sign of life as good as a line
 // From one try at the watch to the next. A service for everybody must not be asked by all at once after an
 // outage; an agent on this machine costs nothing, and what it holds binds within a drain's grace.
@@ -91,8 +92,8 @@
   watch_.reset();
 }
 
-// The failures were the old address's: nothing waits for them. Its versions say nothing of the new one's, which may be
-// lower: that one is asked for all there is. The module sees one watch that goes on.
+// The failures were the old address's: nothing waits for them. Its versions say nothing of the new one's,
+// which may be lower: that one is asked for all there is. The module sees one watch that goes on.
 void Discovery::moveTo(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
@@ -130,8 +131,8 @@
   });
 }
 
-// A cut-off discovery leaves the connection open and silent. Such a watch is opened anew from here, a few times: the
-// module, which spreads what a whole fleet asks, need not know.
+// A cut-off discovery leaves the connection open and silent. Such a watch is opened anew from here, a few
+// times: the module, which spreads what a whole fleet asks, need not know.
 void Discovery::guard(milliseconds within) {
   auto w = watch_;
   w->since = 0;
--- a/src/directory/notices.cpp
+++ b/src/directory/notices.cpp
@@ -18,8 +18,8 @@
 using std::chrono::milliseconds;
 using tcp = asio::ip::tcp;
 
-// The platform answers at once. Two tries, the second with its connect, fit into the 300 ms after which a notice is
-// overdue.
+// The platform answers at once. Two tries, the second with its connect, fit into the 300 ms after which a
+// notice is overdue.
 constexpr auto kKeptWait = milliseconds(100);
 constexpr auto kNewWait = milliseconds(400);  // from the connect on
 constexpr int kRetryMs = 20, kRetryMostMs = 250;
--- a/src/directory/notices.hpp
+++ b/src/directory/notices.hpp
@@ -15,9 +15,9 @@
 
 namespace quilltide::net {
 
-// One post at a time, on a connection that is kept. A notice is overdue 300 ms after its message's time, so a kept
-// connection that has fallen silent may hold nothing up for long, and what it did not acknowledge goes at once on a new
-// one: a notice told twice does no harm, an untold one is a loss.
+// One post at a time, on a connection that is kept. A notice is overdue 300 ms after its message's time, so a
+// kept connection that has fallen silent may hold nothing up for long, and what it did not acknowledge goes
+// at once on a new one: a notice told twice does no harm, an untold one is a loss.
 class Notices {
  public:
   using OnNoticed = std::function<void(const std::vector<std::string>&)>;
--- a/src/directory/values.hpp
+++ b/src/directory/values.hpp
@@ -8,9 +8,9 @@
 
 namespace quilltide::net {
 
-// Values are objects, one after another, on one line each or indented over many; a line without any is a keep-alive.
-// It only finds their ends: nlohmann reads them, and a stream parser would read each list twice. A byte is looked at
-// once.
+// Values are objects, one after another, on one line each or indented over many; a line without any is a
+// keep-alive. It only finds their ends: nlohmann reads them, and a stream parser would read each list twice.
+// A byte is looked at once.
 class Values {
  public:
   enum class Next { more, value, blankLine, unreadable };
--- a/src/doors/connections/clients.hpp
+++ b/src/doors/connections/clients.hpp
@@ -19,8 +19,8 @@
 template <typename Client>
 using Clients = std::list<std::shared_ptr<Client>>;
 
-// Closes the longest unused of those that can be spared, those first that can be at once. One that turns out to have
-// sent a request stays, and the next is looked for. False if there is none.
+// Closes the longest unused of those that can be spared, those first that can be at once. One that turns out
+// to have sent a request stays, and the next is looked for. False if there is none.
 template <typename Client>
 bool makeRoom(const Clients<Client>& clients) {
   const auto now = std::chrono::steady_clock::now();
--- a/src/doors/connections/listener.cpp
+++ b/src/doors/connections/listener.cpp
@@ -40,8 +40,8 @@
   });
 }
 
-// Nobody is accepted but in these turns: a connection accepted beforehand, whose handler comes after the listener has
-// closed, would be dropped with what it has sent.
+// Nobody is accepted but in these turns: a connection accepted beforehand, whose handler comes after the
+// listener has closed, would be dropped with what it has sent.
 void Listener::accept() {
   if (!hooks_.mayAccept()) return acceptLater();
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
--- a/src/doors/connections/listener.hpp
+++ b/src/doors/connections/listener.hpp
@@ -23,8 +23,8 @@
   Listener(boost::asio::io_context& io, std::string name, Hooks hooks);
 
   void listen(const tcp::endpoint& at);  // throws boost::system::system_error if it is not to be had
-  void takeWaiting();                    // those that have connected and are not accepted yet, as far as there is room
-  void close();                          // takes no more; may be called at any time
+  void takeWaiting();  // those that have connected and are not accepted yet, as far as there is room
+  void close();        // takes no more; may be called at any time
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
  private:
--- a/src/doors/resp/door.cpp
+++ b/src/doors/resp/door.cpp
@@ -28,7 +28,8 @@
 // others have theirs, at this door and at the next.
 constexpr std::size_t kAtOnce = 64;
 constexpr std::size_t kInAPace = 2;  // turns of those that had a whole one without a message
-constexpr int kMostPiecesAtTheEnd = 16;  // of 16 KiB, of one client: more than its requests without an answer may hold
+constexpr int kMostPiecesAtTheEnd =
+    16;  // of 16 KiB, of one client: more than its requests without an answer may hold
 constexpr auto kSweep = milliseconds(100);
 // Who says nothing, or half a request, is owed an end within 3 s; a rest of 2 s may always be ended.
 constexpr auto kSilence = milliseconds(2'200);
@@ -79,7 +80,8 @@
   void finish() {
     constexpr std::size_t all = std::numeric_limits<std::size_t>::max();
     parse(all);
-    for (int pieces = 0; pieces < kMostPiecesAtTheEnd && !ending_ && !closed_ && takeIn(); ++pieces) parse(all);
+    for (int pieces = 0; pieces < kMostPiecesAtTheEnd && !ending_ && !closed_ && takeIn(); ++pieces)
+      parse(all);
     if (closed_) return;
     ending_ = true;
     flush();
@@ -154,8 +156,8 @@
  private:
   bool waiting() const { return !answers_.empty() || !out_.empty() || writing_; }
 
-  // What the socket has ready counts before a connection is given up: its event may be queued behind this one, and
-  // closing on a whole request would lose it. True if there was something to wait for.
+  // What the socket has ready counts before a connection is given up: its event may be queued behind this
+  // one, and closing on a whole request would lose it. True if there was something to wait for.
   bool cameAfterAll() {
     if (more_ || ending_) return false;
     const auto before = lastUse_;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -12,7 +12,7 @@
 using boost::system::error_code;
 
 constexpr Micros kRetryWrite = 50'000;
-constexpr std::size_t kMostUnlisted = 32;  // names that are logged, each once
+constexpr std::size_t kMostUnlisted = 32;         // names that are logged, each once
 constexpr std::size_t kAboutOneArriving = 8'000;  // journal bytes, beside its body
 
 Micros steadyNow() {
@@ -189,8 +189,8 @@
 void Engine::learn(const Directory& directory) {
   for (const std::string& name : directory.unlisted) {
     if (unlisted_.size() < kMostUnlisted && unlisted_.insert(name).second)
-      std::cerr << "a target is listed with " << name << ", which the settings do not name: treated with most care"
-                << std::endl;
+      std::cerr << "a target is listed with " << name
+                << ", which the settings do not name: treated with most care" << std::endl;
   }
   carrier_->learn(directory);
   const Micros now = steadyNow();
@@ -350,8 +350,9 @@
   }
 }
 
-// A connection may have come up long after its call: a wait that was told meanwhile, a drain or a message's own end
-// binds what has not left. Journalled only now: what a kill finds on its way to a connection was never tried.
+// A connection may have come up long after its call: a wait that was told meanwhile, a drain or a message's
+// own end binds what has not left. Journalled only now: what a kill finds on its way to a connection was
+// never tried.
 std::vector<bool> Engine::leaving(const TargetId& target, const std::vector<const Parcel*>& parcels) {
   const Micros now = steadyNow(), wall = wallNow();
   std::vector<bool> may;
@@ -367,7 +368,8 @@
   return std::vector<bool>(parcels.size(), false);
 }
 
-// Where no second copy is allowed, what is waited for to its end would keep the others of its call from going again.
+// Where no second copy is allowed, what is waited for to its end would keep the others of its call from going
+// again.
 bool Engine::mayShareACall(const Parcel& one, const Parcel& other) const {
   return settings_.secondCopies || (one.timeout < one.left) == (other.timeout < other.left);
 }
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -49,8 +49,8 @@
   const Journal& ledger() const { return journal_; }
   const Names& names() const { return names_; }
 
-  // From carriers. A call whose connection is up asks which of its messages may still leave, right before its first
-  // byte; those are on disk as out when this returns.
+  // From carriers. A call whose connection is up asks which of its messages may still leave, right before its
+  // first byte; those are on disk as out when this returns.
   std::vector<bool> leaving(const TargetId& target, const std::vector<const Parcel*>& parcels);
   void outcome(const Outcome& outcome);
   void late(MessageId handle);
@@ -113,14 +113,15 @@
   std::size_t arrivingBytes_ = 0;  // the most that they may need in the journal
   std::unordered_map<MessageId, std::string> ids_;
   std::unordered_map<MessageId, int> attempts_;  // made so far
-  // What the start found taken on and untried, until each was called or ended: the log tells how many had no call.
+  // What the start found taken on and untried, until each was called or ended: the log tells how many had no
+  // call.
   struct Found {
     std::set<MessageId> waiting;
     std::size_t all = 0, called = 0;
   } found_;
-  std::vector<std::string> untold_;              // notices that are not yet on disk
-  std::size_t noticed_ = 0;                      // owed by a notice alone
-  std::uint64_t toldPosition_ = 0;               // of the last answer that subscribers have heard
+  std::vector<std::string> untold_;  // notices that are not yet on disk
+  std::size_t noticed_ = 0;          // owed by a notice alone
+  std::uint64_t toldPosition_ = 0;   // of the last answer that subscribers have heard
   MessageId lastHandle_ = 0;
 };
 
--- a/src/engine/ports.hpp
+++ b/src/engine/ports.hpp
@@ -22,9 +22,9 @@
 };
 
 // Brings calls to targets. Each parcel gets one outcome, never inside call(); what was delivered after its
-// time-out had been told is named once more, as late. Both go to the engine (Engine::outcome, Engine::late). Where the
-// settings allow no second copy, what is given up while its call goes on for others is told when that call has ended,
-// or when its message does: until then it must not go again.
+// time-out had been told is named once more, as late. Both go to the engine (Engine::outcome, Engine::late).
+// Where the settings allow no second copy, what is given up while its call goes on for others is told when
+// that call has ended, or when its message does: until then it must not go again.
 class Carrier {
  public:
   virtual ~Carrier() = default;
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -139,12 +139,11 @@
   bool mayLeave(Micros now, MessageId id, const TargetId& target) const {
     const auto at = messages_.find(id);
     const auto place = endpoints_.find(target);
-    if (at == messages_.end() || place == endpoints_.end()) return false;
-    const Message& m = at->second;
+    if (at == messages_.end() || place == endpoints_.end() || at->second.out == 0) return false;
     const Endpoint& ep = place->second;
-    const Lane& lane = apart(ep) ? ep.lane : ep.home->lane;
-    return m.out > 0 && now < m.deadline && ep.entry.listing == Listing::inService && now >= lane.waitUntil &&
-           mayGoAgain(m, now);
+    const Micros from = (apart(ep) ? ep.lane : ep.home->lane).waitUntil;
+    return now >= from && now < at->second.deadline && ep.entry.listing == Listing::inService &&
+           mayGoAgain(at->second, now);
   }
 
  private:
@@ -383,14 +382,15 @@
     for (const MessageId id : due) end(messages_.at(id));
   }
 
-  // Above the holding room newcomers would be turned away unseen: refuse the least urgent instead. What a restart
-  // found untried has waited through it and is old for that alone: it is still tried, and newcomers may come again.
+  // Above the holding room newcomers would be turned away unseen: refuse the least urgent instead, but
+  // nothing that a restart found untried.
   void makeRoom() {
     const auto limit = static_cast<std::size_t>(kFullRoom * s_.maxOpen);
     if (messages_.size() <= std::max<std::size_t>(1, limit)) return;
     std::set<std::pair<double, MessageId>> candidates;
     for (const auto& [id, m] : messages_) {
-      if (m.out == 0 && mayRefuse(m) && (!m.found || m.attempts > 0)) candidates.emplace(urgency(m, usualCall_), id);
+      if (m.out == 0 && mayRefuse(m) && (!m.found || m.attempts > 0))
+        candidates.emplace(urgency(m, usualCall_), id);
     }
     for (auto at = candidates.begin(); at != candidates.end() && messages_.size() > limit; ++at)
       end(messages_.at(at->second));
@@ -932,7 +932,7 @@
         cost += aim_;  // a failed endpoint must not take the next call from one that answers
       if (ep.lane.state != State::closed) cost += at == Gate::trial && main.state == State::closed ? 0 : aim_;
       if (apart(ep)) {
-        const double fee = feeOf(ep);
+        const double fee = feeFor(s_.routeFee, ep.entry.zone);
         if (fee > cheapestFee(d) && now_ - m.arrived < static_cast<Micros>(kFeeAims * aim_)) continue;
         cost += fee * aim_;
       }
@@ -942,18 +942,12 @@
     return best;
   }
 
-  // A zone that the settings do not name may cost as much as the dearest.
-  double feeOf(const Endpoint& ep) const {
-    if (s_.routeFee.empty()) return 0;
-    const auto zone = static_cast<std::size_t>(std::max(0, ep.entry.zone));
-    return zone < s_.routeFee.size() ? s_.routeFee[zone] : *std::max_element(s_.routeFee.begin(), s_.routeFee.end());
-  }
   double cheapestFee(const Destination& d) const {
     double least = std::numeric_limits<double>::max();
     for (const auto& [target, place] : d.endpoints) {
       const Endpoint& ep = *place;
       if (ep.entry.listing != Listing::inService || ep.lane.state != State::closed) continue;
-      least = std::min(least, feeOf(ep));
+      least = std::min(least, feeFor(s_.routeFee, ep.entry.zone));
     }
     return least;
   }
@@ -974,10 +968,10 @@
     const int most = kindOf(ep).batch, now = mainLane(ep).batch;
     return now > 0 ? std::min(now, most) : most;
   }
-  // What may not go again is waited for to its end. Where no second copy is allowed nobody else of its call could go
-  // again before that, either: they travel apart.
+  // Where no second copy is allowed nobody goes again while a call waits for an unsafe one.
   bool mayShareACall(const Message& m, const Message& other) const {
-    return s_.secondCopies || (classOf(m).effect == Effect::unsafe) == (classOf(other).effect == Effect::unsafe);
+    return s_.secondCopies ||
+           (classOf(m).effect == Effect::unsafe) == (classOf(other).effect == Effect::unsafe);
   }
   Micros timeoutOf(const Message& m, const Lane& lane) {
     const ClassSettings& c = classOf(m);
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -52,6 +52,12 @@
   }
 };
 
+// A zone that the settings do not name may cost as much as the dearest.
+inline double feeFor(const std::vector<double>& fees, int zone) {
+  const auto at = static_cast<std::size_t>(std::max(0, zone));
+  return fees.empty() ? 0 : at < fees.size() ? fees[at] : *std::max_element(fees.begin(), fees.end());
+}
+
 enum class State { closed, open, trial };
 
 struct Lane {
--- a/tests/connections_test.cpp
+++ b/tests/connections_test.cpp
@@ -128,8 +128,8 @@
   }
 }
 
-// Without room nobody is taken, also not who comes while the listener waits for one already; nobody is turned away, and
-// once there is room the loop goes on by itself.
+// Without room nobody is taken, also not who comes while the listener waits for one already; nobody is turned
+// away, and once there is room the loop goes on by itself.
 TEST_F(ListenerBed, AsksAgainUntilThereIsRoom) {
   const tcp::socket first = connect();
   ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
@@ -140,7 +140,8 @@
   EXPECT_TRUE(loops.until([&] { return sockets.size() == 3; }));
 }
 
-// Who has connected by the time that the listener closes is taken first; a turn takes several, but not without end.
+// Who has connected by the time that the listener closes is taken first; a turn takes several, but not
+// without end.
 TEST_F(ListenerBed, TakesWhoeverHasConnectedBeforeItCloses) {
   std::vector<tcp::socket> waiting;
   for (int i = 0; i < 40; ++i) waiting.push_back(connect());
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -1,5 +1,5 @@
-// Two events that cross, the bad order made to happen each time: by a hook at the seam, by a loop that is not turned, or
-// by a peer that acts at a given byte.
+// Two events that cross, the bad order made to happen each time: by a hook at the seam, by a loop that is not
+// turned, or by a peer that acts at a given byte.
 #include <sys/socket.h>
 
 #include "carriers/http/targets.hpp"
@@ -33,7 +33,8 @@
   static Parcel parcel(MessageId handle, Micros timeout = 2'000'000) {
     return {handle, 0, "m" + std::to_string(handle), "", "body", timeout};
   }
-  // A first call that leaves its connection idle: the next one's request is with the kernel when call() returns.
+  // A first call that leaves its connection idle: the next one's request is with the kernel when call()
+  // returns.
   void warm() {
     targets->call("t1", {parcel(1)});
     ASSERT_TRUE(until([&] { return outcomes.size() == 1 && targets->idle("t1") == 1; }));
@@ -54,8 +55,8 @@
   std::vector<MessageId> late;
 };
 
-// The kernel has the last byte and no handler of the write has run: the call may have run, and is not told as one that
-// never did.
+// The kernel has the last byte and no handler of the write has run: the call may have run, and is not told as
+// one that never did.
 TEST_F(Calls, CalledOffRightAfterItsLastByteMayHaveRun) {
   warm();
   target.handler = [](Link&) {};
@@ -119,8 +120,8 @@
   EXPECT_EQ(target.requests[0]["X-Request-Id"], "m2");
 }
 
-// Messages of one call end one after the other, and its answer comes when some of them have: it is the answer of the one
-// that stands first, so that one is waited for longest.
+// Messages of one call end one after the other, and its answer comes when some of them have: it is the answer
+// of the one that stands first, so that one is waited for longest.
 TEST_F(Calls, WhoIsWaitedForLongestStandsFirstInItsCall) {
   target.handler = [](Link&) {};
   targets->call("t1", {parcel(1, 50'000), parcel(2, 2'000'000), parcel(3, 100'000), parcel(4, 2'000'000)});
@@ -140,8 +141,9 @@
   EXPECT_EQ(late, (std::vector<MessageId>{3, 1}));
 }
 
-// Where no second copy is allowed, what is timed out or called off while its call goes on for others is told, and so may
-// go again, only when the call's connection has closed; a message that ends meanwhile is told at once.
+// Where no second copy is allowed, what is timed out or called off while its call goes on for others is told,
+// and so may go again, only when the call's connection has closed; a message that ends meanwhile is told at
+// once.
 TEST_F(Calls, WhatIsStillOutIsNotToldWhereNoSecondCopyIsAllowed) {
   config["settings"]["limits"]["secondCopies"] = false;
   make();
@@ -179,7 +181,8 @@
     client->enqueue("u" + std::to_string(i), "unsafe");
   }
   for (int i = 0; i < 8; ++i) ASSERT_EQ(client->line(), "+OK");
-  discovery.chunk(json{{"rev", 50}, {"all", true}, {"targets", json::array({entry("t1", target.text())})}}.dump());
+  discovery.chunk(
+      json{{"rev", 50}, {"all", true}, {"targets", json::array({entry("t1", target.text())})}}.dump());
   ASSERT_TRUE(until([&] { return owed() == 0; }));
   bool several = false;
   for (const auto& request : target.requests) {
@@ -196,14 +199,15 @@
   EXPECT_TRUE(several);
 }
 
-// A large batch whose target reads nothing: a message given up halfway goes on its way with the others, so it may run;
-// given up with the last of them the request never ends, and nothing of it runs.
+// A large batch whose target reads nothing: a message given up halfway goes on its way with the others, so it
+// may run; given up with the last of them the request never ends, and nothing of it runs.
 TEST_F(Calls, GivenUpHalfwayMayRunOnlyIfTheOthersGoOn) {
   tcp::acceptor deaf(io, {asio::ip::make_address("127.0.0.1"), 0});
-  targets->learn(parseDirectory({{"rev", 42},
-                                 {"all", false},
-                                 {"targets", {entry("t2", "127.0.0.1:" + std::to_string(deaf.local_endpoint().port()))}}},
-                                {{}, {"large"}, {"levis"}}));
+  targets->learn(parseDirectory(
+      {{"rev", 42},
+       {"all", false},
+       {"targets", {entry("t2", "127.0.0.1:" + std::to_string(deaf.local_endpoint().port()))}}},
+      {{}, {"large"}, {"levis"}}));
   Parcel large = parcel(1), other = parcel(2);
   large.body = other.body = std::string(16 << 20, 'x');  // more than both kernels' buffers take
   targets->call("t2", {large, other});
@@ -216,7 +220,8 @@
   EXPECT_EQ(outcomes[1].ending, Ending::connectFailed);
 }
 
-// A listener whose queue is full: connections to it come up when room is made, after the kernel's next try (1 s).
+// A listener whose queue is full: connections to it come up when room is made, after the kernel's next try (1
+// s).
 class LateTarget {
  public:
   explicit LateTarget(asio::io_context& io) : acceptor_(io) {
@@ -228,7 +233,8 @@
       fill_.back().open(tcp::v4());
       fill_.back().native_non_blocking(true);
       const tcp::endpoint to = acceptor_.local_endpoint();
-      ::connect(fill_.back().native_handle(), to.data(), static_cast<socklen_t>(to.size()));  // Asio's would wait
+      ::connect(fill_.back().native_handle(), to.data(),
+                static_cast<socklen_t>(to.size()));  // Asio's would wait
     }
   }
   std::string text() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
@@ -277,19 +283,21 @@
   EXPECT_EQ(slow.bytes, 0U);
 }
 
-// A wait that is told while another call's connection comes up holds that call, too: its connection stays, and nothing
-// goes out before the wait is over.
+// A wait that is told while another call's connection comes up holds that call, too: its connection stays,
+// and nothing goes out before the wait is over.
 TEST_F(NetBed, AWaitToldMeanwhileHoldsACallWhoseConnectionComesUpLate) {
   LateTarget slow(io);
   config["known"]["targets"] = json::array({entry("t1", target.text()), entry("t2", slow.text())});
   config["settings"]["familyInfo"]["kindBatch"] = {1};
   std::optional<std::chrono::steady_clock::time_point> told;
-  std::vector<std::chrono::steady_clock::duration> after;  // what came to the quick one when the wait was told
+  std::vector<std::chrono::steady_clock::duration>
+      after;  // what came to the quick one when the wait was told
   target.handler = [&](Link& link) {
     if (target.requests.size() == 1) return;  // so that the next call goes to the other one
     const auto now = std::chrono::steady_clock::now();
     if (!told) told = now;
-    if (now - *told > milliseconds(100)) after.push_back(now - *told);  // else it was out when the wait was told
+    if (now - *told > milliseconds(100))
+      after.push_back(now - *told);  // else it was out when the wait was told
     link.write(FakeServer::answer(429, "", "X-Retry-In-Ms: 2500\r\n"));
   };
   start();
@@ -306,7 +314,8 @@
 
 // ---- Alarms ----
 
-// Two that have expired together: the first sets the second anew, whose handler is queued by then and must not run.
+// Two that have expired together: the first sets the second anew, whose handler is queued by then and must
+// not run.
 TEST(AlarmOrder, WhatWasSetAnewOrTakenBackDoesNotRun) {
   asio::io_context loop;
   clocks::Alarm first(loop), second(loop), third(loop);
@@ -341,7 +350,8 @@
 
 // Indented lists, keep-alives between them and two values in one piece, cut at every byte.
 TEST(ListValues, AreFoundWhereverTheyAreCut) {
-  const json one = {{"rev", 1}, {"t", {"a}\"\\", "{\n"}}}, two = {{"rev", 2}, {"targets", json::array({{{"u", "["}}})}};
+  const json one = {{"rev", 1}, {"t", {"a}\"\\", "{\n"}}},
+             two = {{"rev", 2}, {"targets", json::array({{{"u", "["}}})}};
   const std::string text = "\n" + one.dump(2) + "\r\n\n" + two.dump() + two.dump(1) + "\n\n";
   for (std::size_t cut = 0; cut <= text.size(); ++cut) {
     int blanks = 0;
@@ -362,9 +372,10 @@
   FakeServer other(io, [](Link& link) { link.write(FakeServer::answer(200)); });
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
-  const json list = {{"rev", 50},
-                     {"all", false},
-                     {"targets", json::array({entry("t1", target.text(), "left"), entry("t2", other.text())})}};
+  const json list = {
+      {"rev", 50},
+      {"all", false},
+      {"targets", json::array({entry("t1", target.text(), "left"), entry("t2", other.text())})}};
   discovery.chunk(list.dump(2));
   pause(30);
   client->enqueue("m1", "safe");
@@ -372,8 +383,8 @@
   EXPECT_EQ(discovery.watches.size(), 1U);
 }
 
-// How long a watch that falls silent, and the one behind it, may hide a change: under the 6 s after which it binds. Here
-// after half a list, and the new watch is silent from its first byte.
+// How long a watch that falls silent, and the one behind it, may hide a change: under the 6 s after which it
+// binds. Here after half a list, and the new watch is silent from its first byte.
 TEST_F(NetBed, FindsASilentWatchAndASilentOneBehindItWithinTheClock) {
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
@@ -392,8 +403,8 @@
 
 // ---- Notices ----
 
-// A kept connection that has fallen silent as a post is written, and one that is closed then: the notice is there within
-// the 300 ms after which it is overdue.
+// A kept connection that has fallen silent as a post is written, and one that is closed then: the notice is
+// there within the 300 ms after which it is overdue.
 TEST_F(NetBed, ANoticeIsToldInTimeThoughItsConnectionFellSilentOrCloses) {
   target.handler = [](Link& link) { link.reset(); };
   start();
@@ -419,8 +430,8 @@
 
 // ---- Restarts ----
 
-// A thousand that were taken on and never tried, a list that comes late, a target with a low limit: all that can still
-// be in time are tried, counted by the target itself.
+// A thousand that were taken on and never tried, a list that comes late, a target with a low limit: all that
+// can still be in time are tried, counted by the target itself.
 TEST_F(NetBed, AThousandFoundUntriedAreStillTried) {
   constexpr int kAll = 1'000, kEachSecond = 400;
   config["known"]["targets"] = json::array({entry("t1", target.text(), "leaving")});  // takes nothing new
@@ -428,7 +439,8 @@
   config["limits"]["disk_mb"] = 30;
   config["settings"]["familyInfo"]["kindBatch"] = {1};
   start();
-  for (int i = 0; i < kAll; ++i) client->enqueue("m" + std::to_string(i), i % 2 == 0 ? "safe" : "unsafe", 12'000);
+  for (int i = 0; i < kAll; ++i)
+    client->enqueue("m" + std::to_string(i), i % 2 == 0 ? "safe" : "unsafe", 12'000);
   for (int i = 0; i < kAll; ++i) ASSERT_EQ(client->line(), "+OK") << i;
   kill();
   ASSERT_EQ(Journal(folder.path(), 30'000'000).owed().size(), static_cast<std::size_t>(kAll));
@@ -439,13 +451,15 @@
     called.insert(std::string(link.request["X-Request-Id"]));
     const auto now = std::chrono::steady_clock::now();
     if (now - since >= std::chrono::seconds(1)) std::tie(since, taken) = std::pair(now, 0);
-    link.write(++taken <= kEachSecond ? FakeServer::answer(200) : FakeServer::answer(429, "", "X-Retry-In-Ms: 200\r\n"));
+    link.write(++taken <= kEachSecond ? FakeServer::answer(200)
+                                      : FakeServer::answer(429, "", "X-Retry-In-Ms: 200\r\n"));
   };
   discovery.first = "";
   start();
   pause(700);
   ASSERT_EQ(discovery.watches.size(), 2U);
-  discovery.chunk(json{{"rev", 50}, {"all", true}, {"targets", json::array({entry("t1", target.text())})}}.dump());
+  discovery.chunk(
+      json{{"rev", 50}, {"all", true}, {"targets", json::array({entry("t1", target.text())})}}.dump());
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(12);
   while (std::chrono::steady_clock::now() < end && called.size() < kAll) pause(50);
   int givenUpUncalled = 0;
@@ -477,7 +491,8 @@
 
 // ---- Clients ----
 
-// A whole request that stands in the socket as its connection is given up for rest or silence is taken, not reset.
+// A whole request that stands in the socket as its connection is given up for rest or silence is taken, not
+// reset.
 TEST_F(NetBed, ARequestThatHasComeIsTakenAsItsConnectionIsGivenUp) {
   start();
   const std::string request = FakeClient::command({"ENQUEUE", "0", "late", "c=safe,d=8000,dest=7", "hello"});
@@ -485,19 +500,21 @@
     FakeClient slow(loops, forwarder->address());
     if (before > 0) slow.write(request.substr(0, before));
     pause(50);
-    std::this_thread::sleep_for(milliseconds(2'300));  // the loop is not turned; then sweep and request are both due
+    std::this_thread::sleep_for(
+        milliseconds(2'300));  // the loop is not turned; then sweep and request are both due
     slow.write(request.substr(before));
     EXPECT_EQ(slow.line(), "+OK") << before;
   }
 }
 
-// At the end of a drain: connected and not accepted, whole requests in several pieces, an answer not yet read. Each
-// has its answer whole, and the process ends by itself.
+// At the end of a drain: connected and not accepted, whole requests in several pieces, an answer not yet
+// read. Each has its answer whole, and the process ends by itself.
 TEST_F(NetBed, EveryRequestOfADrainsLastInstantHasItsAnswer) {
   start();
   const std::string big(60'000, 'x');
   for (int i = 0; i < 3; ++i)
-    client->write(FakeClient::command({"ENQUEUE", "0", "p" + std::to_string(i), "c=safe,d=8000,dest=7", big}));
+    client->write(
+        FakeClient::command({"ENQUEUE", "0", "p" + std::to_string(i), "c=safe,d=8000,dest=7", big}));
   FakeClient waiting(loops, forwarder->address());  // in the backlog: the forwarder's loop has not turned
   waiting.enqueue("w", "safe");
   bool drained = false;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -358,8 +358,8 @@
   EXPECT_EQ(discovery.watches.size(), 1U);
 }
 
-// A value that is no list drops the watch alone; the next one goes on from the last version that was read. Half a value
-// is none yet: lists may come over many lines.
+// A value that is no list drops the watch alone; the next one goes on from the last version that was read.
+// Half a value is none yet: lists may come over many lines.
 TEST_F(NetBed, WatchesAgainAfterABadLine) {
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -6,8 +6,8 @@
 
 using Link = FakeServer::Link;
 
-// The old address is told nothing more and asked nothing more; the new one is watched at once, for all that it lists,
-// since its versions may be lower than the old one's, and without the old one's backoff.
+// The old address is told nothing more and asked nothing more; the new one is watched at once, for all that
+// it lists, since its versions may be lower than the old one's, and without the old one's backoff.
 TEST_F(NetBed, MovesItsWatchToTheNewDiscovery) {
   FakeDiscovery next(io);
   start();
@@ -19,8 +19,7 @@
   EXPECT_EQ(next.server.requests[0].target(), "/discovery/hosts?watch=1&after=0");
   EXPECT_TRUE(until([&] { return discovery.server.ended == 1; }));
   FakeServer other(io, [](Link& link) { link.write(FakeServer::answer(200)); });
-  next.chunk(
-      json{{"rev", 3}, {"all", true}, {"targets", json::array({entry("t2", other.text())})}}.dump());
+  next.chunk(json{{"rev", 3}, {"all", true}, {"targets", json::array({entry("t2", other.text())})}}.dump());
   pause(20);
   // From here on by its versions.
   next.watches.back()->reset();
