--- a/src/carriers/http/targets.cpp
+++ b/src/upstream/http/http_upstream_client.cpp
@@ -1,5 +1,5 @@
 // Calls, one exchange each, and the pool of idle connections.
-#include "carriers/http/targets.hpp"
+#include "upstream/http/http_upstream_client.hpp"
 
 #include <sys/socket.h>
 
@@ -12,7 +12,7 @@
 #include <optional>
 #include <utility>
 
-#include "carriers/http/answer.hpp"
+#include "upstream/http/answer.hpp"
 
 namespace quilltide::net {
 namespace {
@@ -40,7 +40,7 @@
 
 }  // namespace
 
-class Targets::Line {
+class HttpUpstreamClient::Line {
  public:
   Line(asio::io_context& io, std::size_t& open) : socket(io), open_(open) { ++open_; }
   ~Line() { close(); }
@@ -71,15 +71,15 @@
   bool counted_ = true;
 };
 
-// One call: its request, its answer, and what became of each of its parcels. What the kernel has taken and
+// One call: its request, its answer, and what became of each of its requests. What the kernel has taken and
 // what it has brought is known here at once, without a handler in between: a time-out or a call-off that
 // comes first tells the truth.
-class Targets::Exchange : public std::enable_shared_from_this<Targets::Exchange> {
+class HttpUpstreamClient::Exchange : public std::enable_shared_from_this<HttpUpstreamClient::Exchange> {
  public:
-  Exchange(Targets& home, TargetId target, std::vector<Parcel> parcels)
-      : home_(home), target_(std::move(target)), parcels_(std::move(parcels)), timer_(home.io_) {
-    told_.resize(parcels_.size(), false);
-    givenUp_.resize(parcels_.size());
+  Exchange(HttpUpstreamClient& home, TargetId target, std::vector<UpstreamRequest> requests)
+      : home_(home), target_(std::move(target)), requests_(std::move(requests)), timer_(home.io_) {
+    told_.resize(requests_.size(), false);
+    givenUp_.resize(requests_.size());
   }
 
   void start(std::shared_ptr<Line> line, const tcp::endpoint& address) {
@@ -112,16 +112,16 @@
   }
 
   bool holds(MessageId handle, int attempt) const {
-    return std::any_of(parcels_.begin(), parcels_.end(),
-                       [&](const Parcel& p) { return p.handle == handle && p.attempt == attempt; });
+    return std::any_of(requests_.begin(), requests_.end(),
+                       [&](const UpstreamRequest& p) { return p.handle == handle && p.attempt == attempt; });
   }
 
   // The connection closes once nothing on it is waited for any more: that tells the target.
   void callOff(MessageId handle, int attempt) {
     if (hasItsAnswer()) return;
     std::vector<std::size_t> off;
-    for (std::size_t i = 0; i < parcels_.size(); ++i)
-      if (!told_[i] && parcels_[i].handle == handle && parcels_[i].attempt == attempt) off.push_back(i);
+    for (std::size_t i = 0; i < requests_.size(); ++i)
+      if (!told_[i] && requests_[i].handle == handle && requests_[i].attempt == attempt) off.push_back(i);
     giveUp(off, Ending::canceled);
   }
 
@@ -143,19 +143,20 @@
   // stays behind, and the rest is put together only now.
   void leave() {
     std::vector<std::size_t> asked;
-    std::vector<const Parcel*> parcels;
-    for (std::size_t i = 0; i < parcels_.size(); ++i) {
+    std::vector<const UpstreamRequest*> requests;
+    for (std::size_t i = 0; i < requests_.size(); ++i) {
       if (told_[i]) continue;
       asked.push_back(i);
-      parcels.push_back(&parcels_[i]);
+      requests.push_back(&requests_[i]);
     }
-    const std::vector<bool> may = home_.leaving_(target_, parcels);
+    const std::vector<bool> may = home_.leaving_(target_, requests);
     std::vector<std::size_t> behind;
     for (std::size_t n = 0; n < asked.size(); ++n) (may[n] ? aboard_ : behind).push_back(asked[n]);
     // The message that is waited for longest stands first, as X-Deadline tells: a call is known by its first
     // message, and where that one's end had been told the answer counted for none of the others.
-    std::stable_sort(aboard_.begin(), aboard_.end(),
-                     [&](std::size_t a, std::size_t b) { return parcels_[a].timeout > parcels_[b].timeout; });
+    std::stable_sort(aboard_.begin(), aboard_.end(), [&](std::size_t a, std::size_t b) {
+      return requests_[a].timeout > requests_[b].timeout;
+    });
     if (aboard_.empty()) {
       stage_ = Stage::over;
       timer_.cancel();
@@ -175,10 +176,10 @@
     request.version(11);
     request.set(http::field::host, target_);
     Micros longest = 0;
-    for (const std::size_t i : aboard_) longest = std::max(longest, parcels_[i].timeout);
+    for (const std::size_t i : aboard_) longest = std::max(longest, requests_[i].timeout);
     request.set("X-Deadline", seconds(std::max<Micros>(1'000, longest - since(started_))));
     if (aboard_.size() == 1) {
-      Parcel& p = parcels_[aboard_.front()];
+      UpstreamRequest& p = requests_[aboard_.front()];
       request.target("/receive");
       request.set("X-Request-Id", p.id);
       if (!p.key.empty()) request.set("Idempotency-Key", p.key);
@@ -186,12 +187,12 @@
     } else {
       request.target("/receive-many");
       for (const std::size_t i : aboard_) {
-        const Parcel& p = parcels_[i];
+        const UpstreamRequest& p = requests_[i];
         request.body() += p.id + ' ' + (p.key.empty() ? "-" : p.key) + ' ' + std::to_string(p.body.size()) +
                           "\r\n" + p.body + "\r\n";
       }
     }
-    for (Parcel& p : parcels_) p.body.clear();
+    for (UpstreamRequest& p : requests_) p.body.clear();
     request.prepare_payload();
     http::request_serializer<http::string_body> serializer(request);
     error_code error;
@@ -225,15 +226,15 @@
   }
 
   Clock::time_point due(std::size_t i) const {
-    const Parcel& p = parcels_[i];
+    const UpstreamRequest& p = requests_[i];
     return started_ + std::chrono::microseconds(givenUp_[i] ? std::max(p.timeout, p.left) : p.timeout);
   }
 
-  // Wakes at the next time that something is up: the connect, the answer's end, or the first parcel still
+  // Wakes at the next time that something is up: the connect, the answer's end, or the first request still
   // waited for.
   void arm() {
     std::optional<Clock::time_point> next = connectBy_ ? connectBy_ : wholeBy_;
-    for (std::size_t i = 0; i < parcels_.size(); ++i)
+    for (std::size_t i = 0; i < requests_.size(); ++i)
       if (!told_[i] && (!next || due(i) < *next)) next = due(i);
     if (!next) return;
     timer_.expires_at(*next);
@@ -244,7 +245,7 @@
       if (hasItsAnswer()) return;
       if (wholeBy_ && now >= *wholeBy_) return spoilt();
       std::vector<std::size_t> those;
-      for (std::size_t i = 0; i < parcels_.size(); ++i)
+      for (std::size_t i = 0; i < requests_.size(); ++i)
         if (!told_[i] && now >= due(i)) those.push_back(i);
       giveUp(those, Ending::timedOut);
     });
@@ -257,13 +258,13 @@
     for (const std::size_t i : which)
       if (!givenUp_[i]) givenUp_[i] = ending;
     std::size_t waitedFor = 0;
-    for (std::size_t i = 0; i < parcels_.size(); ++i) waitedFor += !told_[i] && !givenUp_[i] ? 1 : 0;
+    for (std::size_t i = 0; i < requests_.size(); ++i) waitedFor += !told_[i] && !givenUp_[i] ? 1 : 0;
     const bool last = waitedFor == 0,
                mayBeCopied = home_.settings_.secondCopies || stage_ == Stage::connecting;
     const bool mayRun = stage_ == Stage::answering || (stage_ == Stage::writing && !last);
     const auto now = Clock::now();
     if (last) abandon();
-    for (std::size_t i = 0; i < parcels_.size(); ++i) {
+    for (std::size_t i = 0; i < requests_.size(); ++i) {
       if (told_[i] || !givenUp_[i] || !(last || mayBeCopied || now >= due(i))) continue;
       tell(i, mayRun ? *givenUp_[i] : Ending::connectFailed);
     }
@@ -342,7 +343,7 @@
   void breakOff() {
     const Ending ending = stage_ == Stage::answering ? Ending::reset : Ending::connectFailed;
     abandon();
-    for (std::size_t i = 0; i < parcels_.size(); ++i)
+    for (std::size_t i = 0; i < requests_.size(); ++i)
       if (!told_[i]) tell(i, ending);
     home_.finished(shared_from_this());
   }
@@ -352,7 +353,7 @@
     abandon();
     asio::post(home_.io_, [this, self = shared_from_this(), alive = home_.alive_] {
       if (!*alive) return;
-      for (std::size_t i = 0; i < parcels_.size(); ++i)
+      for (std::size_t i = 0; i < requests_.size(); ++i)
         if (!told_[i]) tell(i, Ending::skipped);
       home_.finished(self);
     });
@@ -361,13 +362,13 @@
   void tell(std::size_t i, Ending ending) { tell(i, Verdict{ending}, 0); }
   void tell(std::size_t i, const Verdict& verdict, Micros wait) {
     if (told_[i]) {
-      if (verdict.ending == Ending::done) home_.late_(parcels_[i].handle);
+      if (verdict.ending == Ending::done) home_.late_(requests_[i].handle);
       return;
     }
     told_[i] = true;
     Outcome o;
-    o.id = parcels_[i].handle;
-    o.attempt = parcels_[i].attempt;
+    o.id = requests_[i].handle;
+    o.attempt = requests_[i].attempt;
     o.target = target_;
     o.ending = verdict.ending;
     o.duration = since(started_);
@@ -394,7 +395,7 @@
 
   void answered() {
     std::vector<std::string> ids;
-    for (const std::size_t i : aboard_) ids.push_back(parcels_[i].id);
+    for (const std::size_t i : aboard_) ids.push_back(requests_[i].id);
     if (home_.settings_.reports == ReportSource::answers) report_ = answer_.report();
     // A limit or a queue that is full keeps the connection; who has no place for one ends it.
     crowded_ = fresh_ && !answer_.parser().keep_alive() &&
@@ -417,13 +418,13 @@
     home_.finished(shared_from_this());
   }
 
-  Targets& home_;
+  HttpUpstreamClient& home_;
   TargetId target_;
-  std::vector<Parcel> parcels_;
+  std::vector<UpstreamRequest> requests_;
   std::vector<bool> told_;
   std::vector<std::optional<Ending>>
       givenUp_;                      // not waited for any more; told at once, or when it is no longer out
-  std::vector<std::size_t> aboard_;  // of the parcels, those that the request holds, in its order
+  std::vector<std::size_t> aboard_;  // of the requests, those that the request holds, in its order
   asio::steady_timer timer_;
   Clock::time_point started_ = Clock::now();
   std::optional<Clock::time_point> connectBy_, wholeBy_;
@@ -438,8 +439,8 @@
   bool starting_ = false, awaits_ = false;
 };
 
-Targets::Targets(asio::io_context& io, const Config& config, std::size_t most, Leaving leaving,
-                 OnOutcome outcome, OnLate late)
+HttpUpstreamClient::HttpUpstreamClient(asio::io_context& io, const Config& config, std::size_t most,
+                                       Leaving leaving, OnOutcome outcome, OnLate late)
     : io_(io),
       settings_(config.settings),
       leaving_(std::move(leaving)),
@@ -451,13 +452,13 @@
   longestWait_ = kLongestWaits * longest;
 }
 
-Targets::~Targets() {
+HttpUpstreamClient::~HttpUpstreamClient() {
   *alive_ = false;
   for (const auto& exchange : calls_) exchange->abandon();
   while (!idle_.empty()) closeIdle(TargetId(idle_.begin()->first));
 }
 
-void Targets::learn(const Directory& directory) {
+void HttpUpstreamClient::learn(const Directory& directory) {
   std::set<TargetId> gone;
   if (directory.view.scope == ViewScope::all) {
     for (const auto& [target, entry] : known_) gone.insert(target);
@@ -476,13 +477,13 @@
   }
 }
 
-std::set<std::int64_t> Targets::destinations() const {
+std::set<std::int64_t> HttpUpstreamClient::destinations() const {
   std::set<std::int64_t> all;
   for (const auto& [target, entry] : known_) all.insert(entry.destination);
   return all;
 }
 
-std::size_t Targets::batchOf(const TargetId& target) const {
+std::size_t HttpUpstreamClient::batchOf(const TargetId& target) const {
   const auto at = known_.find(target);
   const std::size_t kind =
       at == known_.end() ? settings_.kinds.size() : static_cast<std::size_t>(at->second.kind);
@@ -490,10 +491,10 @@
                                        : 1;
 }
 
-void Targets::call(const TargetId& target, std::vector<Parcel> parcels) {
+void HttpUpstreamClient::call(const TargetId& target, std::vector<UpstreamRequest> requests) {
   const auto at = known_.find(target);
   if (at == known_.end()) {  // outcomes never come inside the round that sent the call
-    for (const Parcel& p : parcels) {
+    for (const UpstreamRequest& p : requests) {
       Outcome o;
       o.id = p.handle;
       o.attempt = p.attempt;
@@ -503,18 +504,18 @@
     }
     return;
   }
-  auto exchange = std::make_shared<Exchange>(*this, target, std::move(parcels));
+  auto exchange = std::make_shared<Exchange>(*this, target, std::move(requests));
   calls_.insert(exchange);
   exchange->start(takeIdle(target, at->second.address), at->second.address);
 }
 
-void Targets::later(Outcome outcome) {
+void HttpUpstreamClient::later(Outcome outcome) {
   asio::post(io_, [this, alive = alive_, outcome] {
     if (*alive) outcome_(outcome);
   });
 }
 
-void Targets::callOff(MessageId handle, int attempt) {
+void HttpUpstreamClient::callOff(MessageId handle, int attempt) {
   for (const auto& exchange : calls_) {
     if (!exchange->holds(handle, attempt)) continue;
     const auto kept = exchange;  // it may leave the set
@@ -522,9 +523,10 @@
   }
 }
 
-void Targets::finished(const std::shared_ptr<Exchange>& exchange) { calls_.erase(exchange); }
+void HttpUpstreamClient::finished(const std::shared_ptr<Exchange>& exchange) { calls_.erase(exchange); }
 
-std::shared_ptr<Targets::Line> Targets::takeIdle(const TargetId& target, const tcp::endpoint& address) {
+std::shared_ptr<HttpUpstreamClient::Line> HttpUpstreamClient::takeIdle(const TargetId& target,
+                                                                       const tcp::endpoint& address) {
   const auto pool = idle_.find(target);
   if (pool == idle_.end()) return nullptr;
   const auto keep = std::chrono::microseconds(settings_.connectionIdle) - kIdleMargin;
@@ -546,7 +548,7 @@
   return found;
 }
 
-void Targets::giveBack(const TargetId& target, std::shared_ptr<Line> line) {
+void HttpUpstreamClient::giveBack(const TargetId& target, std::shared_ptr<Line> line) {
   if (!known_.contains(target)) return line->close();
   line->lastUse = Clock::now();
   const int use = ++line->use;
@@ -562,7 +564,7 @@
 }
 
 // With every place taken the longest unused idle connection makes room, wherever it leads.
-bool Targets::makeRoom() {
+bool HttpUpstreamClient::makeRoom() {
   auto oldest = idle_.end();
   for (auto at = idle_.begin(); at != idle_.end(); ++at) {
     if (oldest == idle_.end() || at->second.front()->lastUse < oldest->second.front()->lastUse) oldest = at;
@@ -576,7 +578,7 @@
   return true;
 }
 
-void Targets::closeIdle(const TargetId& target) {
+void HttpUpstreamClient::closeIdle(const TargetId& target) {
   const auto pool = idle_.find(target);
   if (pool == idle_.end()) return;
   for (const auto& line : pool->second) {
@@ -586,7 +588,7 @@
   idle_.erase(pool);
 }
 
-std::size_t Targets::idle(const TargetId& target) const {
+std::size_t HttpUpstreamClient::idle(const TargetId& target) const {
   const auto at = idle_.find(target);
   return at == idle_.end() ? 0 : at->second.size();
 }
--- a/src/carriers/http/targets.hpp
+++ b/src/upstream/http/http_upstream_client.hpp
@@ -15,23 +15,24 @@
 
 namespace quilltide::net {
 
-// The engine's carrier of HTTP calls (PROTOCOL: "Forwarders to targets").
-class Targets : public Carrier {
+// The engine's upstream of HTTP calls (PROTOCOL: "Forwarders to targets").
+class HttpUpstreamClient : public UpstreamClient {
  public:
   using OnOutcome = std::function<void(const Outcome&)>;
   using OnLate = std::function<void(MessageId)>;
   // Asked for those of one call that are still waited for, its connection being up and nothing written yet:
   // which may leave? The others are told as skipped.
-  using Leaving = std::function<std::vector<bool>(const TargetId&, const std::vector<const Parcel*>&)>;
+  using Leaving =
+      std::function<std::vector<bool>(const TargetId&, const std::vector<const UpstreamRequest*>&)>;
 
   // `most`: connections that it may hold, idle ones among them.
-  Targets(boost::asio::io_context& io, const Config& config, std::size_t most, Leaving leaving,
-          OnOutcome outcome, OnLate late);
-  ~Targets() override;
+  HttpUpstreamClient(boost::asio::io_context& io, const Config& config, std::size_t most, Leaving leaving,
+                     OnOutcome outcome, OnLate late);
+  ~HttpUpstreamClient() override;
 
   void learn(const Directory& directory) override;
   std::size_t batchOf(const TargetId& target) const override;
-  void call(const TargetId& target, std::vector<Parcel> parcels) override;
+  void call(const TargetId& target, std::vector<UpstreamRequest> requests) override;
   void callOff(MessageId handle, int attempt) override;
   void closeIdle(const TargetId& target) override;
   std::set<std::int64_t> destinations() const override;
--- a/src/wire/simhost.cpp
+++ b/src/wire/simulator_adapter.cpp
@@ -28,7 +28,7 @@
         complain(problem.what(), raw);
       }
     }
-    if (inRound_) std::cerr << "quilltide_simhost: the input ended inside a round" << std::endl;
+    if (inRound_) std::cerr << "quilltide_simulator_adapter: the input ended inside a round" << std::endl;
     return 0;
   }
 
@@ -39,7 +39,7 @@
   };
 
   void complain(const std::string& why, const std::string& raw) {
-    std::cerr << "quilltide_simhost: " << why << ", in the line: " << raw << std::endl;
+    std::cerr << "quilltide_simulator_adapter: " << why << ", in the line: " << raw << std::endl;
     if (inRound_ && current_) touch(*current_).fault = why;
   }
 
@@ -56,7 +56,8 @@
 
   void take(const wire::Line& line) {
     if (line.name == "round") {
-      if (inRound_) std::cerr << "quilltide_simhost: a round began before the last one closed" << std::endl;
+      if (inRound_)
+        std::cerr << "quilltide_simulator_adapter: a round began before the last one closed" << std::endl;
       now_ = line.required("timeUs");
       inRound_ = true;
       current_.reset();
--- a/stand-ins/client.hpp
+++ b/stand-ins/client.hpp
@@ -1,4 +1,4 @@
-// Clients of both doors: hand messages in and hear what the forwarder says of each.
+// Clients of both frontends: hand messages in and hear what the forwarder says of each.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- a/stand-ins/directory.cpp
+++ b/stand-ins/directory.cpp
@@ -19,7 +19,8 @@
 Directory::Directory(boost::asio::io_context& io, const tcp::endpoint& at)
     : io_(io),
       alive_(io),
-      server_(io, [this](const std::shared_ptr<HttpServer::Link>& link) { take(link); }, at) {
+      server_(
+          io, [this](const std::shared_ptr<HttpServer::Link>& link) { take(link); }, at) {
   keepAlive();
 }
 
--- a/stand-ins/load.cpp
+++ b/stand-ins/load.cpp
@@ -43,10 +43,10 @@
   ForwarderProcess process(program, directory.text(), directory.list(), plan.options);
   process.start();
   std::unique_ptr<Client> client;
-  if (plan.door == "resp") client = respClient(io, process.resp(), plan.connections);
-  if (plan.door == "http") client = httpClient(io, process.http(), plan.connections);
-  if (plan.door == "batch") client = batchClient(io, process.http(), 200, milliseconds(2));
-  if (!client) throw std::runtime_error("no such door: " + plan.door);
+  if (plan.frontend == "resp") client = respClient(io, process.resp(), plan.connections);
+  if (plan.frontend == "http") client = httpClient(io, process.http(), plan.connections);
+  if (plan.frontend == "batch") client = batchClient(io, process.http(), 200, milliseconds(2));
+  if (!client) throw std::runtime_error("no such frontend: " + plan.frontend);
 
   const std::size_t most = static_cast<std::size_t>((plan.rate > 0 ? plan.rate : 100'000) * plan.seconds) + 1;
   Latencies answers(most), calls(most);
@@ -126,7 +126,7 @@
   const std::size_t messages = handed - before;
   json reasons = json::object();
   for (const auto& [text, count] : why) reasons[text] = count;
-  return {{"door", plan.door},
+  return {{"frontend", plan.frontend},
           {"rate", plan.rate},
           {"open", plan.open},
           {"messages", messages},
--- a/stand-ins/load.hpp
+++ b/stand-ins/load.hpp
@@ -1,4 +1,4 @@
-// A load on one door of a forwarder among quick partners, paced by schedule, and what it cost.
+// A load on one frontend of a forwarder among quick partners, paced by schedule, and what it cost.
 #pragma once
 
 #include <cstddef>
@@ -10,9 +10,9 @@
 namespace quilltide::standin {
 
 struct LoadPlan {
-  std::string door = "resp";  // resp, http or batch
-  double rate = 1'000;        // messages a second; 0: as many as `open` allows
-  std::size_t open = 0;       // requests without an answer at once, at rate 0
+  std::string frontend = "resp";  // resp, http or batch
+  double rate = 1'000;            // messages a second; 0: as many as `open` allows
+  std::size_t open = 0;           // requests without an answer at once, at rate 0
   double seconds = 5;
   std::size_t partners = 8, connections = 8;
   std::size_t body = 64;  // bytes
@@ -21,8 +21,8 @@
 
 // A message's time starts when the schedule says that it starts, so that a load that was kept waiting counts
 // as waiting. Figures: messages, cpu_us (of the forwarder, a message), per_second, answer_ms and call_ms
-// (p50, p99, p999, max: until the door's answer, and until a partner had the call), late_ms (the most that
-// this program itself ran behind), refused, resident_mb, descriptors.
+// (p50, p99, p999, max: until the frontend's answer, and until a partner had the call), late_ms (the most
+// that this program itself ran behind), refused, resident_mb, descriptors.
 nlohmann::json playLoad(const std::string& program, const LoadPlan& plan);
 
 }  // namespace quilltide::standin
--- a/stand-ins/partner.cpp
+++ b/stand-ins/partner.cpp
@@ -61,7 +61,8 @@
     : destination_(destination),
       effects_(effects),
       pace_(pace),
-      server_(io, [this](const std::shared_ptr<HttpServer::Link>& link) { take(link); }, at) {}
+      server_(
+          io, [this](const std::shared_ptr<HttpServer::Link>& link) { take(link); }, at) {}
 
 void Partner::away() { server_.stop(); }
 
--- a/stand-ins/ports.hpp
+++ b/stand-ins/ports.hpp
@@ -1,4 +1,4 @@
-// Addresses for the processes of a rig.
+// Addresses for the processes of a harness.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
--- a/stand-ins/process.cpp
+++ b/stand-ins/process.cpp
@@ -81,9 +81,9 @@
   pid_ = ::fork();
   if (pid_ < 0) throw std::runtime_error("the forwarder could not be started");
   if (pid_ == 0) {
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it does not outlive the rig
-    // Sockets of this rig, of all its threads, are none of the forwarder's: one kept open there would neither
-    // be reset nor give its port back.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it does not outlive the harness
+    // Sockets of this harness, of all its threads, are none of the forwarder's: one kept open there would
+    // neither be reset nor give its port back.
     ::close_range(3, ~0U, CLOSE_RANGE_CLOEXEC);
     const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(file, 1);
--- a/stand-ins/programs/demo.cpp
+++ b/stand-ins/programs/demo.cpp
@@ -1,4 +1,4 @@
-// The first run: a thousand messages through both doors, while one partner hangs and one sheds load.
+// The first run: a thousand messages through both frontends, while one partner hangs and one sheds load.
 #include <unistd.h>
 
 #include <CLI/App.hpp>
@@ -24,7 +24,7 @@
     run.partner(kHangs).script([](const std::string&, int) { return Does::hangUnrun; });
     run.partner(kSheds).pace({milliseconds(4), 20, milliseconds(1'000)});
     run.start();
-    std::printf("directory %s, %zu partners, forwarder: RESP2 door %s:%d, HTTP door %s:%d\n",
+    std::printf("directory %s, %zu partners, forwarder: RESP2 frontend %s:%d, HTTP frontend %s:%d\n",
                 run.directory().text().c_str(), kPartners, run.process().resp().address().to_string().c_str(),
                 run.process().resp().port(), run.process().http().address().to_string().c_str(),
                 run.process().http().port());
@@ -57,22 +57,22 @@
       if (i % 4 == 3) progress(count);
     }
     progress(count);
-    std::printf("\n\n%-6s %-9s %9s %9s %9s %9s %9s %9s\n", "door", "class", "handed in", "delivered",
+    std::printf("\n\n%-6s %-9s %9s %9s %9s %9s %9s %9s\n", "frontend", "class", "handed in", "delivered",
                 "given up", "handed bk", "refused", "other");
     std::size_t without = 0;
-    for (const char* door : {"RESP2", "HTTP"}) {
+    for (const char* frontend : {"RESP2", "HTTP"}) {
       for (const char* cls : {"statut", "ordre", "paiement"}) {
         std::map<std::string, std::size_t> ends;
         std::size_t all = 0;
         for (const auto& [id, fate] : run.fates()) {
-          if (fate.door != door || fate.message.cls != cls) continue;
+          if (fate.frontend != frontend || fate.message.cls != cls) continue;
           ++all;
           ++ends[run.endOf(fate)];
         }
         const std::size_t known =
             ends["delivered"] + ends["given_up"] + ends["handed_back"] + ends["refused"];
         without += all - known - ends["failed"] - ends["over"];
-        std::printf("%-6s %-9s %9zu %9zu %9zu %9zu %9zu %9zu\n", door, cls, all, ends["delivered"],
+        std::printf("%-6s %-9s %9zu %9zu %9zu %9zu %9zu %9zu\n", frontend, cls, all, ends["delivered"],
                     ends["given_up"], ends["handed_back"], ends["refused"], all - known);
       }
     }
--- a/stand-ins/programs/load.cpp
+++ b/stand-ins/programs/load.cpp
@@ -1,4 +1,4 @@
-// The load generator: one door, one rate, one JSON object of figures.
+// The load generator: one frontend, one rate, one JSON object of figures.
 #include "load.hpp"
 
 #include <CLI/App.hpp>
@@ -9,12 +9,13 @@
 using namespace quilltide::standin;
 
 int main(int argc, char** argv) {
-  CLI::App app("Loads one door of a forwarder and says what it cost.", "thistleyoke-load");
+  CLI::App app("Loads one frontend of a forwarder and says what it cost.", "thistleyoke-load");
   std::string program = "build/thistleyoke";
   LoadPlan plan;
   bool platform = false;
   app.add_option("--forwarder", program, "the forwarder's program");
-  app.add_option("--door", plan.door, "resp, http or batch")->check(CLI::IsMember({"resp", "http", "batch"}));
+  app.add_option("--frontend", plan.frontend, "resp, http or batch")
+      ->check(CLI::IsMember({"resp", "http", "batch"}));
   app.add_option("--rate", plan.rate, "messages a second; 0: by --open")->check(CLI::Range(0.0, 200'000.0));
   app.add_option("--open", plan.open, "requests without an answer at once")->check(CLI::Range(0, 100'000));
   app.add_option("--seconds", plan.seconds, "how long")->check(CLI::Range(0.5, 600.0));
--- a/stand-ins/rude.cpp
+++ b/stand-ins/rude.cpp
@@ -17,8 +17,8 @@
 
 enum class Sort { silent, half, endless, deaf };
 
-std::string firstOf(Sort sort, RudeClients::Door door) {
-  const bool http = door == RudeClients::Door::http;
+std::string firstOf(Sort sort, RudeClients::Frontend frontend) {
+  const bool http = frontend == RudeClients::Frontend::http;
   switch (sort) {
     case Sort::silent:
       return "";
@@ -52,9 +52,9 @@
   bool connected = false, over = false;
 };
 
-RudeClients::RudeClients(asio::io_context& io, const tcp::endpoint& to, Door door, std::size_t count,
+RudeClients::RudeClients(asio::io_context& io, const tcp::endpoint& to, Frontend frontend, std::size_t count,
                          std::size_t most)
-    : io_(io), to_(to), door_(door), most_(most), all_(count) {
+    : io_(io), to_(to), frontend_(frontend), most_(most), all_(count) {
   for (std::size_t i = 0; i < count; ++i) open(i);
 }
 
@@ -82,7 +82,7 @@
     if (!*alive) return;
     if (error) return again(one);
     one->connected = true;
-    one->out = firstOf(one->sort(), door_);
+    one->out = firstOf(one->sort(), frontend_);
     if (one->sort() != Sort::silent) send(one);
     // Who is deaf learns of the end only by writing.
     if (one->sort() != Sort::deaf) read(one);
--- a/stand-ins/rude.hpp
+++ b/stand-ins/rude.hpp
@@ -1,4 +1,5 @@
-// Clients that take what a door has and give nothing: silent, half a request, bodies without end, no reading.
+// Clients that take what a frontend has and give nothing: silent, half a request, bodies without end, no
+// reading.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -9,12 +10,12 @@
 
 namespace quilltide::standin {
 
-// So many connections to one door, of four sorts in turn; each that the door ends is opened again at once,
-// but all together at most `most` times.
+// So many connections to one frontend, of four sorts in turn; each that the frontend ends is opened again at
+// once, but all together at most `most` times.
 class RudeClients {
  public:
-  enum class Door { resp, http };
-  RudeClients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& to, Door door,
+  enum class Frontend { resp, http };
+  RudeClients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& to, Frontend frontend,
               std::size_t count, std::size_t most);
   ~RudeClients();
   RudeClients(const RudeClients&) = delete;
@@ -31,7 +32,7 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint to_;
-  Door door_;
+  Frontend frontend_;
   std::size_t most_, opened_ = 0;
   std::vector<std::shared_ptr<One>> all_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/stand-ins/run.cpp
+++ b/stand-ins/run.cpp
@@ -29,10 +29,10 @@
 
 void Run::restart() { process_->start(); }
 
-void Run::hand(Client& client, const std::string& door, const Message& message) {
+void Run::hand(Client& client, const std::string& frontend, const Message& message) {
   Fate& fate = fates_[message.id];
   fate.message = message;
-  fate.door = door;
+  fate.frontend = frontend;
   ++fate.asked;
   client.submit(message, [this, id = message.id](const Told& told) { fates_[id].told.push_back(told); });
 }
@@ -73,7 +73,7 @@
 std::vector<std::string> Run::broken() const {
   std::vector<std::string> out;
   const auto complain = [&](const Fate& fate, const std::string& what) {
-    out.push_back(fate.door + " " + fate.message.id + " (" + fate.message.cls + "): " + what);
+    out.push_back(fate.frontend + " " + fate.message.id + " (" + fate.message.cls + "): " + what);
   };
   const auto& finals = ends_->finals();
   const auto& notices = directory_.notices();
@@ -103,7 +103,7 @@
         complain(fate, "is " + word + ", and its notice says otherwise");
       if (word == "handed_back" && unsafe && effects > 0) complain(fate, "was handed back after its effect");
     } else if (!unheard) {
-      // A refusal assures that nothing was sent; a failure at the door does so here too.
+      // A refusal assures that nothing was sent; a failure at the frontend does so here too.
       if (effects > 0) complain(fate, "was not taken and had an effect");
       if (final != finals.end()) complain(fate, "was not taken and has a final answer");
     }
--- a/stand-ins/run.hpp
+++ b/stand-ins/run.hpp
@@ -18,7 +18,7 @@
 // What was told of one message by all who had to do with it.
 struct Fate {
   Message message;
-  std::string door;
+  std::string frontend;
   std::vector<Told> told;  // one for each time that it was handed in; none yet heard is missing
   std::size_t asked = 0;
   bool taken() const;
@@ -42,7 +42,7 @@
 
   void start();    // the process, and a reader of its ends
   void restart();  // after its end: the same folder and addresses
-  void hand(Client& client, const std::string& door, const Message& message);
+  void hand(Client& client, const std::string& frontend, const Message& message);
 
   // Plays until the condition holds, or that long.
   bool until(const std::function<bool()>& holds, milliseconds most);
--- a/tests/connections_test.cpp
+++ b/tests/connections_test.cpp
@@ -1,11 +1,12 @@
-// What every door has: who makes room, turns for floods, the accept loop, and an end that destroys no answer.
-#include "doors/connections/clients.hpp"
-#include "doors/connections/lingering.hpp"
-#include "doors/connections/listener.hpp"
-#include "doors/connections/pace.hpp"
-#include "net_bed.hpp"
-
-namespace quilltide::net::testbed {
+// What every frontend has: who makes room, turns for floods, the accept loop, and an end that destroys no
+// answer.
+#include "frontend/listener/clients.hpp"
+#include "frontend/listener/lingering.hpp"
+#include "frontend/listener/listener.hpp"
+#include "frontend/listener/pace.hpp"
+#include "net_fixture.hpp"
+
+namespace quilltide::net::fixtures {
 namespace {
 
 using std::chrono::milliseconds;
@@ -97,9 +98,9 @@
   EXPECT_EQ(std::string(went.begin(), went.end()), "abcabcabc");
 }
 
-class ListenerBed : public ::testing::Test {
+class ListenerFixture : public ::testing::Test {
  protected:
-  ListenerBed()
+  ListenerFixture()
       : listener(*loops.own, "test",
                  {[this] { return room; }, [this](tcp::socket s) { sockets.push_back(std::move(s)); },
                   [this] { ++outOf; }}) {
@@ -117,7 +118,7 @@
   Listener listener;
 };
 
-TEST_F(ListenerBed, TakesConnectionsOneAfterAnotherWithoutDelayOrBlocking) {
+TEST_F(ListenerFixture, TakesConnectionsOneAfterAnotherWithoutDelayOrBlocking) {
   const tcp::socket one = connect(), two = connect();
   ASSERT_TRUE(loops.until([&] { return sockets.size() == 2; }));
   for (tcp::socket& socket : sockets) {
@@ -130,7 +131,7 @@
 
 // Without room nobody is taken, also not who comes while the listener waits for one already; nobody is turned
 // away, and once there is room the loop goes on by itself.
-TEST_F(ListenerBed, AsksAgainUntilThereIsRoom) {
+TEST_F(ListenerFixture, AsksAgainUntilThereIsRoom) {
   const tcp::socket first = connect();
   ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
   room = false;
@@ -142,7 +143,7 @@
 
 // Who has connected by the time that the listener closes is taken first; a turn takes several, but not
 // without end.
-TEST_F(ListenerBed, TakesWhoeverHasConnectedBeforeItCloses) {
+TEST_F(ListenerFixture, TakesWhoeverHasConnectedBeforeItCloses) {
   std::vector<tcp::socket> waiting;
   for (int i = 0; i < 40; ++i) waiting.push_back(connect());
   listener.takeWaiting();
@@ -150,7 +151,7 @@
   EXPECT_EQ(sockets.size(), 40U);
 }
 
-TEST_F(ListenerBed, TakesNobodyOnceClosed) {
+TEST_F(ListenerFixture, TakesNobodyOnceClosed) {
   const tcp::endpoint at = listener.address();
   listener.close();
   loops.until([] { return false; }, milliseconds(30));
@@ -162,7 +163,7 @@
 }
 
 // A last answer survives bytes that nobody read: a plain close would send a reset over it.
-TEST_F(ListenerBed, ALingeringEndLeavesTheAnswerReadable) {
+TEST_F(ListenerFixture, ALingeringEndLeavesTheAnswerReadable) {
   tcp::socket client = connect();
   ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
   tcp::socket& served = sockets.front();
@@ -188,7 +189,7 @@
 }
 
 // Who goes on sending for good is read away up to a bound, and then only waited out.
-TEST_F(ListenerBed, ALingeringEndReadsABoundedAmountAway) {
+TEST_F(ListenerFixture, ALingeringEndReadsABoundedAmountAway) {
   tcp::socket client = connect();
   ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
   client.non_blocking(true);
@@ -208,4 +209,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/fleet/state_test.cpp
+++ b/tests/fleet/state_test.cpp
@@ -1,4 +1,4 @@
-// The keepers' state: leases, lines, values, and that snapshots and repeats change nothing.
+// The coordinators' state: leases, lines, values, and that snapshots and repeats change nothing.
 #include "fleet/state/state.hpp"
 
 #include <gtest/gtest.h>
--- a/tests/fleet/terms_test.cpp
+++ b/tests/fleet/terms_test.cpp
@@ -1,21 +1,21 @@
-// Terms as the leading keeper and as a member count them, each alone, in told time.
+// Terms as the leading coordinator and as a member count them, each alone, in told time.
 #include <gtest/gtest.h>
 
-#include "fleet/holder/holder.hpp"
-#include "fleet/judge/judge.hpp"
-#include "keeper/exchange.hpp"
+#include "coordinator/peer_exchange.hpp"
+#include "fleet/expiry/expiry.hpp"
+#include "fleet/lease_client/lease_client.hpp"
 
 namespace quilltide::fleet {
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
 
-// ---- The leading keeper's clock ----
+// ---- The leading coordinator's clock ----
 
-struct JudgeTest : testing::Test {
+struct ExpiryTest : testing::Test {
   State state;
-  Judge judge{[] {
-    Judge::Settings s;
+  ExpiryTracker judge{[] {
+    ExpiryTracker::Settings s;
     s.drift = 0.1;
     s.mostHold = 3 * kSecond;
     return s;
@@ -30,7 +30,7 @@
     return r;
   }
   SessionId open(const std::string& name) { return apply(OpenSession{name, name, kSecond}).session; }
-  // Asks all the way to `until`, as a keeper that does not stand still.
+  // Asks all the way to `until`, as a coordinator that does not stand still.
   std::vector<Command> pass(Micros until) {
     std::vector<Command> out;
     while (now < until) {
@@ -41,7 +41,7 @@
   }
 };
 
-TEST_F(JudgeTest, ATermEndsWithTheDriftAfterItsRenewalWasApplied) {
+TEST_F(ExpiryTest, ATermEndsWithTheDriftAfterItsRenewalWasApplied) {
   judge.lead(state, now);
   const auto a = open("a");
   pass(kSecond / 2);
@@ -52,7 +52,7 @@
   EXPECT_EQ(std::get<Expire>(due[0]).sessions, (std::vector<std::pair<SessionId, Index>>{{a, 2}}));
 }
 
-TEST_F(JudgeTest, ANewLeaderWaitsAWholeTermForEverybody) {
+TEST_F(ExpiryTest, ANewLeaderWaitsAWholeTermForEverybody) {
   open("a");
   now = 100 * kSecond;
   judge.lead(state, now);
@@ -60,7 +60,7 @@
   EXPECT_EQ(pass(now + 1'000).size(), 1U);
 }
 
-TEST_F(JudgeTest, WhatItMissedWhileItStoodStillIsGivenBack) {
+TEST_F(ExpiryTest, WhatItMissedWhileItStoodStillIsGivenBack) {
   judge.lead(state, now);
   open("a");
   pass(kSecond / 2);
@@ -70,13 +70,13 @@
   EXPECT_EQ(pass(now + kSecond).size(), 1U);
 }
 
-TEST_F(JudgeTest, WhatIsNotAppliedIsProposedAgain) {
+TEST_F(ExpiryTest, WhatIsNotAppliedIsProposedAgain) {
   judge.lead(state, now);
   open("a");
   EXPECT_EQ(pass(4 * kSecond).size(), 3U);  // at 1.1 s, and each second from then on
 }
 
-TEST_F(JudgeTest, OnlyALeaseThatOthersWaitForIsCalledBack) {
+TEST_F(ExpiryTest, OnlyALeaseThatOthersWaitForIsCalledBack) {
   judge.lead(state, now);
   const auto a = open("a"), b = open("b");
   const auto renewing = [&](Micros until) {
@@ -104,7 +104,7 @@
   EXPECT_EQ(std::get<ExpireLease>(due[0]).token, token);
 }
 
-TEST_F(JudgeTest, NobodyIsCalledBackForWhoDoesNotTakeTurns) {
+TEST_F(ExpiryTest, NobodyIsCalledBackForWhoDoesNotTakeTurns) {
   judge.lead(state, now);
   const auto a = open("a"), b = open("b");
   apply(Acquire{a, 1, "l", true, false});
@@ -115,7 +115,7 @@
   }
 }
 
-TEST_F(JudgeTest, ManyTermsThatEndTogetherGoInFewEntries) {
+TEST_F(ExpiryTest, ManyTermsThatEndTogetherGoInFewEntries) {
   judge.lead(state, now);
   for (int i = 0; i < 1'200; ++i) open("m" + std::to_string(i));
   const auto due = pass(12 * kSecond / 10);
@@ -125,7 +125,7 @@
   EXPECT_LE(due.size(), 4U);
 }
 
-TEST_F(JudgeTest, AfterARestoreTheLongestTermIsWaitedOutAnewByEachLeader) {
+TEST_F(ExpiryTest, AfterARestoreTheLongestTermIsWaitedOutAnewByEachLeader) {
   judge.lead(state, now);
   apply(Raise{9});
   const Micros longest = state.bounds().longestTtl * 11 / 10;
@@ -139,9 +139,9 @@
 
 // ---- A member ----
 
-struct HolderTest : testing::Test {
-  Holder holder{[] {
-    Holder::Settings s;
+struct LeaseClientTest : testing::Test {
+  LeaseClient holder{[] {
+    LeaseClient::Settings s;
     s.name = "m";
     s.nonce = "n";
     s.ttl = 10 * kSecond;
@@ -151,12 +151,12 @@
   }()};
   Micros now = 1'000 * kSecond;
   Index index = 0;
-  std::vector<Holder::Event> events;
+  std::vector<LeaseClient::Event> events;
 
-  std::vector<Holder::Request> send() { return holder.send(now); }
+  std::vector<LeaseClient::Request> send() { return holder.send(now); }
   template <typename C>
-  std::optional<Holder::Request> sends() {
-    for (Holder::Request& r : holder.send(now))
+  std::optional<LeaseClient::Request> sends() {
+    for (LeaseClient::Request& r : holder.send(now))
       if (std::holds_alternative<C>(r.command)) return r;
     return std::nullopt;
   }
@@ -182,7 +182,7 @@
     holder.want("l");
     opened();
     std::uint64_t acquire = 0, renew = 0;
-    for (const Holder::Request& r : send())
+    for (const LeaseClient::Request& r : send())
       (std::holds_alternative<Acquire>(r.command) ? acquire : renew) = r.tag;
     holder.answered(renew, renewedWith({}), now);
     Result r = result();
@@ -191,16 +191,16 @@
     ASSERT_EQ(holder.mayAct("l", now), token);
     take();
   }
-  std::size_t take(Holder::Event::Kind kind = Holder::Event::Kind::wrote) {
+  std::size_t take(LeaseClient::Event::Kind kind = LeaseClient::Event::Kind::wrote) {
     events = holder.take(now);
     return static_cast<std::size_t>(
         std::count_if(events.begin(), events.end(), [&](const auto& e) { return e.kind == kind; }));
   }
 };
 
-using Kind = Holder::Event::Kind;
+using Kind = LeaseClient::Event::Kind;
 
-TEST_F(HolderTest, ATermCountsFromTheAskLessTheDrift) {
+TEST_F(LeaseClientTest, ATermCountsFromTheAskLessTheDrift) {
   gained(9);
   const Micros asked = now;
   now += 8 * kSecond;
@@ -210,7 +210,7 @@
   EXPECT_FALSE(holder.mayAct("l", now));
 }
 
-TEST_F(HolderTest, ARenewalCountsFromWhenItWasAskedForNotAnswered) {
+TEST_F(LeaseClientTest, ARenewalCountsFromWhenItWasAskedForNotAnswered) {
   gained(9);
   now += 5 * kSecond;
   const auto renew = sends<Renew>();
@@ -222,7 +222,7 @@
   EXPECT_FALSE(holder.mayAct("l", asked + 9 * kSecond));
 }
 
-TEST_F(HolderTest, ItIsToldBeforeItsTermEndsAndWhenItHas) {
+TEST_F(LeaseClientTest, ItIsToldBeforeItsTermEndsAndWhenItHas) {
   gained(9);
   now += 6 * kSecond;
   EXPECT_EQ(take(Kind::ending), 1U);
@@ -230,12 +230,12 @@
   EXPECT_EQ(take(Kind::ending), 0U);
   now += 4 * kSecond;
   EXPECT_EQ(take(Kind::lost), 1U);
-  // It says so, in case the keepers do not know, and stands in line again.
+  // It says so, in case the coordinators do not know, and stands in line again.
   EXPECT_TRUE(sends<Release>());
   EXPECT_EQ(holder.violations(), 0U);
 }
 
-TEST_F(HolderTest, ASessionThatWasOpenedByALostAnswerCountsFromTheFirstAsk) {
+TEST_F(LeaseClientTest, ASessionThatWasOpenedByALostAnswerCountsFromTheFirstAsk) {
   holder.want("l");
   const auto first = sends<OpenSession>();
   ASSERT_TRUE(first);
@@ -249,7 +249,7 @@
   Result r = result();
   r.session = 5;
   holder.answered(second->tag, r, now);
-  for (const Holder::Request& request : send()) {
+  for (const LeaseClient::Request& request : send()) {
     if (!std::holds_alternative<Acquire>(request.command)) continue;
     Result granted = result();
     granted.token = 9;
@@ -259,11 +259,11 @@
   EXPECT_FALSE(holder.mayAct("l", asked + 9 * kSecond));
 }
 
-TEST_F(HolderTest, ARenewalAppliedAfterAnAcquireHasTheLastWord) {
+TEST_F(LeaseClientTest, ARenewalAppliedAfterAnAcquireHasTheLastWord) {
   holder.want("l");
   opened();
   std::uint64_t acquire = 0, renew = 0;
-  for (const Holder::Request& r : send())
+  for (const LeaseClient::Request& r : send())
     (std::holds_alternative<Acquire>(r.command) ? acquire : renew) = r.tag;
   // Granted by entry 2, called back and ended before entry 9, which says that nothing is held; and heard in
   // the other order.
@@ -275,7 +275,7 @@
   EXPECT_FALSE(holder.mayAct("l", now));
 }
 
-TEST_F(HolderTest, ARecalledLeaseIsNotExtended) {
+TEST_F(LeaseClientTest, ARecalledLeaseIsNotExtended) {
   gained(9);
   const Micros asked = now;
   now += 5 * kSecond;
@@ -287,14 +287,14 @@
   EXPECT_FALSE(holder.mayAct("l", asked + 9 * kSecond));
 }
 
-TEST_F(HolderTest, WhatIsGivenBackIsNotActedOnFromThatMoment) {
+TEST_F(LeaseClientTest, WhatIsGivenBackIsNotActedOnFromThatMoment) {
   gained(9);
   holder.giveBack("l");
   EXPECT_FALSE(holder.mayAct("l", now));
   now += 4 * kSecond;
   // A renewal on its way still lists it.
   std::uint64_t release = 0, renew = 0;
-  for (const Holder::Request& r : send())
+  for (const LeaseClient::Request& r : send())
     (std::holds_alternative<Release>(r.command) ? release : renew) = r.tag;
   ASSERT_NE(release, 0U);
   ASSERT_NE(renew, 0U);
@@ -305,7 +305,7 @@
   EXPECT_FALSE(holder.mayAct("l", now));
 }
 
-TEST_F(HolderTest, ALostSessionLosesAllAndIsOpenedAnewByAnotherNonce) {
+TEST_F(LeaseClientTest, ALostSessionLosesAllAndIsOpenedAnewByAnotherNonce) {
   gained(9);
   now += 5 * kSecond;
   const auto renew = sends<Renew>();
@@ -321,7 +321,7 @@
   EXPECT_EQ(std::get<OpenSession>(open->command).nonce, "n-2");
 }
 
-TEST_F(HolderTest, AWriteBehindAFenceNeedsTheLease) {
+TEST_F(LeaseClientTest, AWriteBehindAFenceNeedsTheLease) {
   EXPECT_EQ(holder.put("k", "v", {}, "l"), 0U);
   gained(9);
   EXPECT_NE(holder.put("k", "v", {}, "l"), 0U);
@@ -333,7 +333,7 @@
   EXPECT_EQ(events[0].result.code, Code::staleFence);
 }
 
-TEST_F(HolderTest, ARepeatHasTheNumberOfTheFirst) {
+TEST_F(LeaseClientTest, ARepeatHasTheNumberOfTheFirst) {
   holder.want("l");
   opened();
   const auto first = sends<Acquire>();
@@ -348,7 +348,7 @@
   EXPECT_NE(second->tag, first->tag);
 }
 
-TEST_F(HolderTest, ClosedItHoldsNothingAndTheKeepersAreTold) {
+TEST_F(LeaseClientTest, ClosedItHoldsNothingAndTheCoordinatorsAreTold) {
   gained(9);
   holder.close();
   EXPECT_FALSE(holder.mayAct("l", now));
@@ -359,10 +359,10 @@
   EXPECT_TRUE(send().empty());
 }
 
-// ---- What a keeper may start with ----
+// ---- What a coordinator may start with ----
 
-using keeper::Admission;
-using keeper::Standing;
+using coordinator::Admission;
+using coordinator::Standing;
 
 Admission admissionOf(std::size_t peers, bool fresh, const Standing& own) {
   Admission a;
@@ -372,7 +372,7 @@
   return a;
 }
 
-TEST(AdmissionOfAKeeper, AFreshFolderNeedsAllAnswersAnOldOneAMajority) {
+TEST(AdmissionOfACoordinator, AFreshFolderNeedsAllAnswersAnOldOneAMajority) {
   Admission fresh = admissionOf(4, true, {1, 0, 0}), old = admissionOf(4, false, {3, 2, 9});
   for (std::uint64_t peer : {2, 3}) {
     EXPECT_EQ(fresh.hear(peer, "f", "f", nullptr), "");
@@ -383,7 +383,7 @@
   EXPECT_TRUE(admissionOf(0, true, {1, 0, 0}).enough());
 }
 
-TEST(AdmissionOfAKeeper, LessThanOthersHeardOfItIsRefused) {
+TEST(AdmissionOfACoordinator, LessThanOthersHeardOfItIsRefused) {
   const Standing own{3, 2, 9};
   for (const Standing& more : {Standing{4, 2, 9}, Standing{3, 3, 9}, Standing{3, 2, 10}}) {
     Admission a = admissionOf(2, false, own);
--- a/tests/fleet_bed.hpp
+++ b/tests/fleet_simulation.hpp
@@ -15,7 +15,7 @@
 
 #include "quilltide/sender.hpp"
 
-namespace quilltide::testbed {
+namespace quilltide::fixtures {
 
 // One destination with one endpoint. Times are microseconds, rates calls a second from all senders together.
 struct Place {
@@ -47,13 +47,13 @@
   std::size_t warned = 0;  // calls of senders that had a call fail to reach it
 };
 
-class FleetBed {
+class FleetSimulation {
  public:
   static constexpr Micros kOneWay = 8'000;
   static constexpr Micros kTally = 500'000;  // a tally for each such time
 
-  FleetBed(int senders, Settings settings, std::map<std::int64_t, Place> places, std::uint64_t seed,
-           Micros startSpread = 0)
+  FleetSimulation(int senders, Settings settings, std::map<std::int64_t, Place> places, std::uint64_t seed,
+                  Micros startSpread = 0)
       : settings_(std::move(settings)), random_(seed) {
     settings_.fleetSize = senders;
     for (auto& [destination, place] : places) {
@@ -291,4 +291,4 @@
   std::map<std::pair<std::int64_t, Micros>, Tally> tallies_;
 };
 
-}  // namespace quilltide::testbed
+}  // namespace quilltide::fixtures
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,15 +1,15 @@
 // What changes when senders are many: shares, trials, refusals, idle connections, seldom calls.
 #include <gtest/gtest.h>
 
-#include "bed.hpp"
+#include "sender_fixture.hpp"
 
 namespace quilltide {
 namespace {
 
-using testbed::Bed;
+using fixtures::SenderFixture;
 
 Settings fleet(int size) {
-  Settings s = Bed::plain();
+  Settings s = SenderFixture::plain();
   s.fleetSize = size;
   return s;
 }
@@ -17,15 +17,15 @@
 TEST(Fleet, TrialsOfADestinationCalledSeldomGrowRarerWithTheFleet) {
   Micros first[2] = {0, 0};
   for (int i = 0; i < 2; ++i) {
-    Bed bed(fleet(i == 0 ? 2 : 300));
-    bed.list({"a"});
-    bed.arrive();
-    bed.finish(Ending::connectFailed);
-    bed.step(5000);
-    if (bed.out() > 0) bed.finish(Ending::connectFailed);
-    const Micros parked = bed.now();
-    bed.stepUntilCall(14'000'000);
-    first[i] = bed.now() - parked;
+    SenderFixture fixture(fleet(i == 0 ? 2 : 300));
+    fixture.list({"a"});
+    fixture.arrive();
+    fixture.finish(Ending::connectFailed);
+    fixture.step(5000);
+    if (fixture.out() > 0) fixture.finish(Ending::connectFailed);
+    const Micros parked = fixture.now();
+    fixture.stepUntilCall(14'000'000);
+    first[i] = fixture.now() - parked;
   }
   EXPECT_LT(first[0], 3'000'000);
   EXPECT_GT(first[1], 3 * first[0]);
@@ -37,91 +37,91 @@
   std::size_t calls[2] = {0, 0};
   for (int i = 0; i < 2; ++i) {
     s.fleetSize = i == 0 ? 2 : 300;
-    Bed bed(s);
+    SenderFixture fixture(s);
     DirectoryView view;
     view.entries.push_back({"a", 1, 0, 0, 20, Listing::inService});
-    bed.give({view});
-    bed.arrive();
-    bed.finish(Ending::connectFailed);
-    bed.step(5000);
-    if (bed.out() > 0) bed.finish(Ending::connectFailed);
-    bed.stepUntilCall(15'000'000);
-    if (bed.out() == 0) {  // the large fleet's sender is not due within the message's life
+    fixture.give({view});
+    fixture.arrive();
+    fixture.finish(Ending::connectFailed);
+    fixture.step(5000);
+    if (fixture.out() > 0) fixture.finish(Ending::connectFailed);
+    fixture.stepUntilCall(15'000'000);
+    if (fixture.out() == 0) {  // the large fleet's sender is not due within the message's life
       calls[i] = 0;
       continue;
     }
-    bed.finish(Ending::done);
-    for (int k = 0; k < 60; ++k) bed.arrive();  // far less than its part of what is listed, with two
-    const std::size_t before = bed.calls();
+    fixture.finish(Ending::done);
+    for (int k = 0; k < 60; ++k) fixture.arrive();  // far less than its part of what is listed, with two
+    const std::size_t before = fixture.calls();
     for (int k = 0; k < 200; ++k) {
-      bed.step(20'000);
-      while (bed.out() > 0) bed.finish(Ending::done);
+      fixture.step(20'000);
+      while (fixture.out() > 0) fixture.finish(Ending::done);
     }
-    calls[i] = bed.calls() - before;
+    calls[i] = fixture.calls() - before;
   }
   EXPECT_GT(calls[0], 2U);
   EXPECT_LT(calls[1], calls[0]);
 }
 
 TEST(Seldom, TheFirstSilenceParksAndALateAnswerReopens) {
-  Bed bed(fleet(300));
-  bed.list({"a"});
+  SenderFixture fixture(fleet(300));
+  fixture.list({"a"});
   for (int i = 0; i < 2; ++i) {
-    bed.arrive();
-    bed.step(100'000);
-    bed.finish(Ending::done);
-    bed.step(2'000'000);
+    fixture.arrive();
+    fixture.step(100'000);
+    fixture.finish(Ending::done);
+    fixture.step(2'000'000);
   }
-  for (int i = 0; i < 40; ++i) bed.step(1'000'000);
-  bed.arrive();
-  ASSERT_EQ(bed.out(), 1U);
-  bed.step(1'000'000);
-  bed.step(1'000'000);
-  const std::size_t before = bed.calls();
-  bed.arrive();
-  bed.step(100'000);
-  EXPECT_EQ(bed.calls(), before);  // parked
-  bed.finish(Ending::done);
-  bed.stepUntilCall(1'000'000);
-  EXPECT_EQ(bed.calls(), before + 1);
+  for (int i = 0; i < 40; ++i) fixture.step(1'000'000);
+  fixture.arrive();
+  ASSERT_EQ(fixture.out(), 1U);
+  fixture.step(1'000'000);
+  fixture.step(1'000'000);
+  const std::size_t before = fixture.calls();
+  fixture.arrive();
+  fixture.step(100'000);
+  EXPECT_EQ(fixture.calls(), before);  // parked
+  fixture.finish(Ending::done);
+  fixture.stepUntilCall(1'000'000);
+  EXPECT_EQ(fixture.calls(), before + 1);
 }
 
 TEST(Seldom, RefusalsPushTheNextCallFurtherOutEachTime) {
-  Bed bed(fleet(300));
-  bed.list({"a"});
-  bed.arrive();
+  SenderFixture fixture(fleet(300));
+  fixture.list({"a"});
+  fixture.arrive();
   Micros last = 0, gap = 0;
   for (int i = 0; i < 4; ++i) {
-    bed.finish(Ending::busy);
-    const Micros at = bed.now();
-    bed.stepUntilCall(14'000'000);
-    if (bed.out() == 0) break;
+    fixture.finish(Ending::busy);
+    const Micros at = fixture.now();
+    fixture.stepUntilCall(14'000'000);
+    if (fixture.out() == 0) break;
     last = gap;
-    gap = bed.now() - at;
+    gap = fixture.now() - at;
   }
   EXPECT_GT(gap, last);
 }
 
-std::size_t givenBack(const Bed& bed) {
+std::size_t givenBack(const SenderFixture& fixture) {
   std::size_t n = 0;
-  for (const Action& action : bed.actions()) n += std::holds_alternative<CloseIdle>(action) ? 1 : 0;
+  for (const Action& action : fixture.actions()) n += std::holds_alternative<CloseIdle>(action) ? 1 : 0;
   return n;
 }
 
 TEST(Idle, FailedConnectsMakeAManySenderFleetGiveConnectionsBack) {
-  Bed bed(fleet(300));
-  bed.list({"a", "b"});
+  SenderFixture fixture(fleet(300));
+  fixture.list({"a", "b"});
   for (int i = 0; i < 8; ++i) {
-    bed.arrive();
-    if (bed.out() > 0) bed.finish(i < 4 ? Ending::connectFailed : Ending::done);
-    bed.step(100'000);
+    fixture.arrive();
+    if (fixture.out() > 0) fixture.finish(i < 4 ? Ending::connectFailed : Ending::done);
+    fixture.step(100'000);
   }
   std::size_t closed = 0;
   for (int i = 0; i < 1000 && closed == 0; ++i) {
-    if (bed.out() > 0) bed.finish(Ending::done);
-    closed += givenBack(bed);
-    bed.step(20'000);
-    closed += givenBack(bed);
+    if (fixture.out() > 0) fixture.finish(Ending::done);
+    closed += givenBack(fixture);
+    fixture.step(20'000);
+    closed += givenBack(fixture);
   }
   EXPECT_GE(closed, 1U);
 }
@@ -129,42 +129,42 @@
 TEST(Idle, AResetOnALongIdleConnectionIsNoIllnessAndClosesIt) {
   Settings s = fleet(3);
   s.classes[0].effect = Effect::keyed;
-  Bed bed(s);
-  bed.list({"a"});
-  bed.arrive();
-  bed.step(100'000);
-  bed.finish(Ending::done);
-  bed.step(4'000'000);
-  for (int i = 0; i < 2; ++i) bed.arrive();
-  bed.finish(Ending::reset);
-  EXPECT_EQ(givenBack(bed) + bed.out() > 0, true);
-  bed.stepUntilCall(1'000'000);
-  EXPECT_GE(bed.out(), 1U);  // not parked: it goes again at once
+  SenderFixture fixture(s);
+  fixture.list({"a"});
+  fixture.arrive();
+  fixture.step(100'000);
+  fixture.finish(Ending::done);
+  fixture.step(4'000'000);
+  for (int i = 0; i < 2; ++i) fixture.arrive();
+  fixture.finish(Ending::reset);
+  EXPECT_EQ(givenBack(fixture) + fixture.out() > 0, true);
+  fixture.stepUntilCall(1'000'000);
+  EXPECT_GE(fixture.out(), 1U);  // not parked: it goes again at once
 }
 
 TEST(Listing, ThousandsOfEndpointsTwiceNamedAndMoved) {
-  Bed bed(fleet(0));
+  SenderFixture fixture(fleet(0));
   DirectoryView view;
   for (int i = 0; i < 4000; ++i)
     view.entries.push_back({"t" + std::to_string(i % 3000), i % 700, 0, 0, -1, Listing::inService});
-  bed.give({view});
-  bed.arrive();
-  EXPECT_EQ(bed.out(), 1U);
-  bed.finish(Ending::done);
-  bed.list({});
-  const MessageId id = bed.arrive();
-  for (int i = 0; i < 900; ++i) bed.step(20'000);
-  EXPECT_TRUE(bed.refused(id));
+  fixture.give({view});
+  fixture.arrive();
+  EXPECT_EQ(fixture.out(), 1U);
+  fixture.finish(Ending::done);
+  fixture.list({});
+  const MessageId id = fixture.arrive();
+  for (int i = 0; i < 900; ++i) fixture.step(20'000);
+  EXPECT_TRUE(fixture.refused(id));
 }
 
 TEST(Clock, AJumpWithManyOutcomesAtOnceAnswersEveryMessage) {
-  Bed bed(fleet(50));
-  bed.list({"a", "b"});
-  for (int i = 0; i < 30; ++i) bed.arrive();
-  bed.step(30'000'000);
-  while (bed.out() > 0) bed.finish(Ending::timedOut);
-  for (int i = 0; i < 10; ++i) bed.step(20'000);
-  EXPECT_EQ(bed.ended(), 30U);
+  SenderFixture fixture(fleet(50));
+  fixture.list({"a", "b"});
+  for (int i = 0; i < 30; ++i) fixture.arrive();
+  fixture.step(30'000'000);
+  while (fixture.out() > 0) fixture.finish(Ending::timedOut);
+  for (int i = 0; i < 10; ++i) fixture.step(20'000);
+  EXPECT_EQ(fixture.ended(), 30U);
 }
 
 }  // namespace
--- a/tests/fuzz/answer.cpp
+++ b/tests/fuzz/answer.cpp
@@ -1,5 +1,5 @@
 // Answers of targets: whatever comes, each message gets one verdict, and only a line that says so settles it.
-#include "carriers/http/answer.hpp"
+#include "upstream/http/answer.hpp"
 
 #include <cmath>
 #include <cstdlib>
--- a/tests/fuzz/http.cpp
+++ b/tests/fuzz/http.cpp
@@ -1,7 +1,8 @@
-// Requests to the HTTP door, as its connections read them: head, framing, target, values, lines of a batch.
+// Requests to the HTTP frontend, as its connections read them: head, framing, target, values, lines of a
+// batch.
 #include <cstdlib>
 
-#include "doors/http/api.hpp"
+#include "frontend/http/api.hpp"
 
 using namespace quilltide::net;
 namespace http = boost::beast::http;
--- a/tests/fuzz/resp.cpp
+++ b/tests/fuzz/resp.cpp
@@ -2,7 +2,7 @@
 // bytes elsewhere reads the same.
 #include <cstdlib>
 
-#include "doors/resp/request_reader.hpp"
+#include "frontend/resp/request_reader.hpp"
 
 using quilltide::net::RequestReader;
 
--- a/tests/rig/forwarders_test.cpp
+++ b/tests/harness/forwarders_test.cpp
@@ -1,4 +1,4 @@
-// Several forwarders as processes, a directory and partners among them, and every link between them a relay.
+// Several forwarders as processes, a directory and partners among them, and every link between them a proxy.
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
@@ -8,7 +8,7 @@
 #include "fleet.hpp"
 #include "partner.hpp"
 
-namespace quilltide::rig {
+namespace quilltide::harness {
 namespace {
 
 using namespace standin;
@@ -17,27 +17,28 @@
 
 struct ForwardersTest : testing::Test {
   ForwardersTest()
-      : directory(io, rig.at("directory", "http")), partner(io, 0, effects, {}, rig.at("partner", "http")) {
+      : directory(io, harness.at("directory", "http")),
+        partner(io, 0, effects, {}, harness.at("partner", "http")) {
     for (int i = 0; i < kForwarders; ++i) {
       const std::string name = "f" + std::to_string(i);
-      // Each reaches the partner by its own relay, so each has a list of its own to start from.
-      directory.set({"p0", textOf(rig.from("all", "partner", "http")), 0});
+      // Each reaches the partner by its own proxy, so each has a list of its own to start from.
+      directory.set({"p0", textOf(harness.from("all", "partner", "http")), 0});
       const nlohmann::json config = forwarderConfig(name, i, directory.list());
-      rig.add({name,
-               FORWARDER,
-               {},
-               {{"PROXY_CONFIG", "{folder}/config.json"}, {"PROXY_STATE", "{state}"}},
-               {{"config.json", config.dump()}},
-               false});
+      harness.add({name,
+                   FORWARDER,
+                   {},
+                   {{"PROXY_CONFIG", "{folder}/config.json"}, {"PROXY_STATE", "{state}"}},
+                   {{"config.json", config.dump()}},
+                   false});
     }
-    rig.startAll();
+    harness.startAll();
     for (int i = 0; i < kForwarders; ++i)
-      EXPECT_TRUE(rig.awaitLine("f" + std::to_string(i), "is ready", milliseconds(10'000)))
-          << rig.timeline().text();
+      EXPECT_TRUE(harness.awaitLine("f" + std::to_string(i), "is ready", milliseconds(10'000)))
+          << harness.timeline().text();
   }
 
   std::unique_ptr<Client> clientOf(const std::string& forwarder) {
-    return respClient(io, rig.from("client", forwarder, "resp"), 2);
+    return respClient(io, harness.from("client", forwarder, "resp"), 2);
   }
   void hand(Client& client, const std::string& id, const std::string& cls) {
     Message m;
@@ -51,11 +52,11 @@
     return answers.contains(id) && answers[id].back().kind == Told::Kind::taken;
   }
   bool until(const std::function<bool()>& holds, int ms = 10'000) {
-    return rig.until(holds, milliseconds(ms));
+    return harness.until(holds, milliseconds(ms));
   }
 
   boost::asio::io_context io;
-  Rig rig{io};
+  Harness harness{io};
   Effects effects;
   Directory directory;
   Partner partner;
@@ -72,16 +73,16 @@
     hand(*clients.back(), "hang-u" + std::to_string(i), "paiement");
     hand(*clients.back(), "hang-k" + std::to_string(i), "ordre");
   }
-  ASSERT_TRUE(until([&] { return effects.all().size() == 2 * kForwarders; })) << rig.timeline().text();
-  for (int i = 0; i < kForwarders; ++i) rig.child("f" + std::to_string(i)).kill();
-  rig.startAll();
+  ASSERT_TRUE(until([&] { return effects.all().size() == 2 * kForwarders; })) << harness.timeline().text();
+  for (int i = 0; i < kForwarders; ++i) harness.child("f" + std::to_string(i)).kill();
+  harness.startAll();
   // The unsafe ones may have run and are given up; the keyed ones go again within their keys' time.
-  EXPECT_TRUE(until([&] { return directory.notices().size() == kForwarders; })) << rig.timeline().text();
+  EXPECT_TRUE(until([&] { return directory.notices().size() == kForwarders; })) << harness.timeline().text();
   EXPECT_TRUE(until([&] {
     for (int i = 0; i < kForwarders; ++i)
       if (!effects.settled("hang-k" + std::to_string(i))) return false;
     return true;
-  })) << rig.timeline().text();
+  })) << harness.timeline().text();
   for (int i = 0; i < kForwarders; ++i) {
     EXPECT_EQ(effects.of("hang-u" + std::to_string(i)), 1U);
     EXPECT_EQ(effects.of("hang-k" + std::to_string(i)), 1U);
@@ -92,11 +93,11 @@
 TEST_F(ForwardersTest, CutOffFromTheDirectoryOneGoesOnByTheListItHas) {
   Faults cut;
   cut.cut = true;
-  rig.link("f0->directory.http").set(Way::toward, cut);
-  rig.link("f0->directory.http").set(Way::back, cut);
+  harness.link("f0->directory.http").set(Way::toward, cut);
+  harness.link("f0->directory.http").set(Way::back, cut);
   auto client = clientOf("f0");
   hand(*client, "m0", "paiement");
-  EXPECT_TRUE(until([&] { return effects.settled("m0"); })) << rig.timeline().text();
+  EXPECT_TRUE(until([&] { return effects.settled("m0"); })) << harness.timeline().text();
 }
 
 TEST_F(ForwardersTest, AnsweredButUnheardAPaiementIsNotSentAgain) {
@@ -104,14 +105,14 @@
   partner.script([&](const std::string&, int) {
     Faults cut;
     cut.cut = true;
-    rig.link("all->partner.http").set(Way::back, cut);
+    harness.link("all->partner.http").set(Way::back, cut);
     return Does::deliver;
   });
   auto client = clientOf("f1");
   hand(*client, "m0", "paiement");
   ASSERT_TRUE(until([&] { return effects.of("m0") == 1; }));
-  rig.link("all->partner.http").heal();  // with a reset: it was caught by the cut
-  EXPECT_TRUE(until([&] { return directory.notices().contains("m0"); })) << rig.timeline().text();
+  harness.link("all->partner.http").heal();  // with a reset: it was caught by the cut
+  EXPECT_TRUE(until([&] { return directory.notices().contains("m0"); })) << harness.timeline().text();
   EXPECT_EQ(directory.notices().at("m0").outcome, "given_up");
   EXPECT_EQ(effects.of("m0"), 1U);
 }
@@ -120,14 +121,14 @@
   auto client = clientOf("f2");
   hand(*client, "before", "statut");
   ASSERT_TRUE(until([&] { return effects.settled("before"); }));
-  rig.child("f2").signal(SIGSTOP);
+  harness.child("f2").signal(SIGSTOP);
   hand(*client, "during", "ordre");
-  rig.wait(milliseconds(1'500));
+  harness.wait(milliseconds(1'500));
   EXPECT_EQ(effects.of("during"), 0U);
-  rig.child("f2").signal(SIGCONT);
-  EXPECT_TRUE(until([&] { return effects.settled("during"); })) << rig.timeline().text();
+  harness.child("f2").signal(SIGCONT);
+  EXPECT_TRUE(until([&] { return effects.settled("during"); })) << harness.timeline().text();
   EXPECT_EQ(effects.of("during"), 1U);
 }
 
 }  // namespace
-}  // namespace quilltide::rig
+}  // namespace quilltide::harness
--- a/tests/rig/rig_test.cpp
+++ b/tests/harness/harness_test.cpp
@@ -1,5 +1,6 @@
-// The rig itself: every fault of a link and of a process does what it says, and nothing outlives the rig.
-#include "rig.hpp"
+// The harness itself: every fault of a link and of a process does what it says, and nothing outlives the
+// harness.
+#include "harness.hpp"
 
 #include <gtest/gtest.h>
 #include <signal.h>
@@ -13,18 +14,20 @@
 #include "ports.hpp"
 #include "scenario.hpp"
 
-namespace quilltide::rig {
+namespace quilltide::harness {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
 using Clock = std::chrono::steady_clock;
 
-// An echo behind a relay, and one client in front of it.
+// An echo behind a proxy, and one client in front of it.
 class LinkTest : public testing::Test {
  protected:
   LinkTest()
-      : rig(io), server(io, standin::freePort()), relay(io, standin::freePort(), server.local_endpoint()) {
+      : harness(io),
+        server(io, standin::freePort()),
+        proxy(io, standin::freePort(), server.local_endpoint()) {
     accept();
   }
 
@@ -76,22 +79,22 @@
   };
   std::unique_ptr<Client> client() {
     auto c = std::make_unique<Client>(io);
-    c->socket.async_connect(relay.at(), [p = c.get()](error_code error) {
+    c->socket.async_connect(proxy.at(), [p = c.get()](error_code error) {
       p->error = error;
       p->connected = !error;
       if (!error) p->read();
     });
-    rig.until([&] { return c->connected || c->error; }, milliseconds(1'000));
+    harness.until([&] { return c->connected || c->error; }, milliseconds(1'000));
     return c;
   }
   bool until(const std::function<bool()>& holds, int ms = 2'000) {
-    return rig.until(holds, milliseconds(ms));
+    return harness.until(holds, milliseconds(ms));
   }
 
   asio::io_context io;
-  Rig rig;
+  Harness harness;
   tcp::acceptor server;
-  Relay relay;
+  FaultProxy proxy;
   std::vector<std::shared_ptr<tcp::socket>> served;
   std::string arrived;
   bool ended = false;
@@ -102,8 +105,8 @@
   auto c = client();
   c->send("hello");
   EXPECT_TRUE(until([&] { return c->got == "hello"; }));
-  EXPECT_EQ(relay.passed(Way::toward), 5U);
-  EXPECT_EQ(relay.passed(Way::back), 5U);
+  EXPECT_EQ(proxy.passed(Way::toward), 5U);
+  EXPECT_EQ(proxy.passed(Way::back), 5U);
 }
 
 TEST_F(LinkTest, CutOneWayTheOtherWayGoesOnAndWhatWasCaughtIsReset) {
@@ -112,11 +115,11 @@
   ASSERT_TRUE(until([&] { return c->got == "one"; }));
   Faults cut;
   cut.cut = true;
-  relay.set(Way::back, cut);
+  proxy.set(Way::back, cut);
   c->send("two");
   EXPECT_TRUE(until([&] { return arrived == "onetwo"; }));  // the way there is whole
   EXPECT_FALSE(until([&] { return c->got.size() > 3 || c->error; }, 60));
-  relay.heal();
+  proxy.heal();
   EXPECT_TRUE(until([&] { return c->error == asio::error::connection_reset; }));
   EXPECT_EQ(c->got, "one");
 }
@@ -124,11 +127,11 @@
 TEST_F(LinkTest, AConnectionOpenedIntoACutSaysNothingUntilItIsReset) {
   Faults cut;
   cut.cut = true;
-  relay.set(Way::toward, cut);
+  proxy.set(Way::toward, cut);
   auto c = client();
   c->send("lost");
   EXPECT_FALSE(until([&] { return !served.empty() || c->error; }, 60));
-  relay.heal();
+  proxy.heal();
   EXPECT_TRUE(until([&] { return c->error == asio::error::connection_reset; }));
 }
 
@@ -138,8 +141,8 @@
   ASSERT_TRUE(until([&] { return c->got == "one"; }));
   Faults cut;
   cut.cut = true;
-  relay.set(Way::toward, cut);
-  relay.heal();
+  proxy.set(Way::toward, cut);
+  proxy.heal();
   c->send("two");
   EXPECT_TRUE(until([&] { return c->got == "onetwo"; }));
 }
@@ -148,10 +151,10 @@
   auto c = client();
   Faults stall;
   stall.stalled = true;
-  relay.set(Way::toward, stall);
+  proxy.set(Way::toward, stall);
   c->send("late");
   EXPECT_FALSE(until([&] { return !arrived.empty(); }, 60));
-  relay.heal();
+  proxy.heal();
   EXPECT_TRUE(until([&] { return c->got == "late"; }));
 }
 
@@ -159,7 +162,7 @@
   auto c = client();
   Faults slow;
   slow.delay = milliseconds(80);
-  relay.set(Way::back, slow);
+  proxy.set(Way::back, slow);
   const auto begin = Clock::now();
   c->send("x");
   ASSERT_TRUE(until([&] { return arrived == "x"; }));
@@ -172,7 +175,7 @@
   auto c = client();
   Faults slow;
   slow.bytesPerSecond = 10'000;
-  relay.set(Way::toward, slow);
+  proxy.set(Way::toward, slow);
   const auto begin = Clock::now();
   c->send(std::string(2'000, 'x'));
   ASSERT_TRUE(until([&] { return arrived.size() == 2'000; }));
@@ -183,12 +186,12 @@
   auto c = client();
   Faults breaks;
   breaks.resetAfter = 4;
-  relay.set(Way::toward, breaks);
+  proxy.set(Way::toward, breaks);
   c->send("abcdefgh");
   EXPECT_TRUE(until([&] { return bool(c->error); }));
   EXPECT_TRUE(until([&] { return ended; }));
   EXPECT_TRUE(std::string("abcd").starts_with(arrived)) << arrived;  // a RST may overtake the last of them
-  EXPECT_EQ(relay.passed(Way::toward), 4U);
+  EXPECT_EQ(proxy.passed(Way::toward), 4U);
 }
 
 TEST_F(LinkTest, KeepsTheOtherSideHalfOpen) {
@@ -197,18 +200,18 @@
   ASSERT_TRUE(until([&] { return c->got == "one"; }));
   Faults hidden;
   hidden.hideEnd = true;
-  relay.set(Way::back, hidden);
+  proxy.set(Way::back, hidden);
   error_code ignored;
   served.front()->shutdown(tcp::socket::shutdown_send, ignored);
   EXPECT_FALSE(until([&] { return bool(c->error); }, 60));
-  relay.heal();
+  proxy.heal();
   EXPECT_TRUE(until([&] { return c->error == asio::error::eof; }));
 }
 
 TEST_F(LinkTest, RefusesAndTakesAgain) {
-  relay.refuse(true);
+  proxy.refuse(true);
   EXPECT_EQ(client()->error, asio::error::connection_refused);
-  relay.refuse(false);
+  proxy.refuse(false);
   EXPECT_TRUE(client()->connected);
 }
 
@@ -216,7 +219,7 @@
   auto c = client();
   c->send("one");
   ASSERT_TRUE(until([&] { return c->got == "one"; }));
-  relay.reset();
+  proxy.reset();
   EXPECT_TRUE(until([&] { return c->error == asio::error::connection_reset; }));
   EXPECT_TRUE(until([&] { return endedBy == asio::error::connection_reset; }));
 }
@@ -229,94 +232,95 @@
 
 struct ProcessTest : testing::Test {
   asio::io_context io;
-  Rig rig{io};
+  Harness harness{io};
   bool until(const std::function<bool()>& holds, int ms = 5'000) {
-    return rig.until(holds, milliseconds(ms));
+    return harness.until(holds, milliseconds(ms));
   }
 };
 
 TEST_F(ProcessTest, LogsAndEndsAreInTheTimeLine) {
-  rig.add(shell("a", "echo one; echo two >&2; exit 3"));
-  rig.start("a");
-  ASSERT_TRUE(until([&] { return !rig.child("a").running(); }));
-  EXPECT_EQ(rig.timeline().count("a", "^one$"), 1U);
-  EXPECT_EQ(rig.timeline().count("a", "^two$"), 1U);
-  EXPECT_EQ(rig.timeline().count("rig", "a: ended with status 3"), 1U);
-  EXPECT_EQ(rig.child("a").crashes(), 0U);
+  harness.add(shell("a", "echo one; echo two >&2; exit 3"));
+  harness.start("a");
+  ASSERT_TRUE(until([&] { return !harness.child("a").running(); }));
+  EXPECT_EQ(harness.timeline().count("a", "^one$"), 1U);
+  EXPECT_EQ(harness.timeline().count("a", "^two$"), 1U);
+  EXPECT_EQ(harness.timeline().count("harness", "a: ended with status 3"), 1U);
+  EXPECT_EQ(harness.child("a").crashes(), 0U);
 }
 
-TEST_F(ProcessTest, ACrashIsToldFromAnEndByTheRig) {
-  rig.add(shell("a", "kill -SEGV $$"));
-  rig.add(shell("b", "echo up; exec sleep 60"));
-  rig.startAll();
-  ASSERT_TRUE(until([&] { return !rig.child("a").running(); }));
-  EXPECT_EQ(rig.child("a").crashes(), 1U);
-  ASSERT_TRUE(rig.awaitLine("b", "up", milliseconds(5'000)));
-  rig.child("b").signal(SIGTERM);
-  ASSERT_TRUE(until([&] { return !rig.child("b").running(); }));
-  EXPECT_EQ(rig.child("b").crashes(), 0U);
+TEST_F(ProcessTest, ACrashIsToldFromAnEndByTheHarness) {
+  harness.add(shell("a", "kill -SEGV $$"));
+  harness.add(shell("b", "echo up; exec sleep 60"));
+  harness.startAll();
+  ASSERT_TRUE(until([&] { return !harness.child("a").running(); }));
+  EXPECT_EQ(harness.child("a").crashes(), 1U);
+  ASSERT_TRUE(harness.awaitLine("b", "up", milliseconds(5'000)));
+  harness.child("b").signal(SIGTERM);
+  ASSERT_TRUE(until([&] { return !harness.child("b").running(); }));
+  EXPECT_EQ(harness.child("b").crashes(), 0U);
 }
 
 TEST_F(ProcessTest, APausedProcessDoesNothingUntilItIsWoken) {
-  rig.add(shell("a", "while :; do echo beat; sleep 0.01; done"));
-  rig.start("a");
-  ASSERT_TRUE(rig.awaitLine("a", "beat", milliseconds(5'000)));
-  rig.child("a").signal(SIGSTOP);
-  rig.wait(milliseconds(50));
-  const auto before = rig.timeline().count("a", "beat");
-  rig.wait(milliseconds(100));
-  EXPECT_EQ(rig.timeline().count("a", "beat"), before);
-  rig.child("a").signal(SIGCONT);
-  EXPECT_TRUE(until([&] { return rig.timeline().count("a", "beat") > before; }));
+  harness.add(shell("a", "while :; do echo beat; sleep 0.01; done"));
+  harness.start("a");
+  ASSERT_TRUE(harness.awaitLine("a", "beat", milliseconds(5'000)));
+  harness.child("a").signal(SIGSTOP);
+  harness.wait(milliseconds(50));
+  const auto before = harness.timeline().count("a", "beat");
+  harness.wait(milliseconds(100));
+  EXPECT_EQ(harness.timeline().count("a", "beat"), before);
+  harness.child("a").signal(SIGCONT);
+  EXPECT_TRUE(until([&] { return harness.timeline().count("a", "beat") > before; }));
 }
 
 TEST_F(ProcessTest, FoldersAreKeptLostAndRolledBack) {
-  rig.add(shell("a", "cd {state}; echo x >> log; echo lines $(wc -l < log)"));
+  harness.add(shell("a", "cd {state}; echo x >> log; echo lines $(wc -l < log)"));
   const auto run = [&] {
-    rig.start("a");
-    until([&] { return !rig.child("a").running(); });
-    return rig.timeline().entries();
+    harness.start("a");
+    until([&] { return !harness.child("a").running(); });
+    return harness.timeline().entries();
   };
   run();
-  rig.child("a").saveFolder("first");
+  harness.child("a").saveFolder("first");
   run();
   run();
-  EXPECT_EQ(rig.timeline().count("a", "lines 3"), 1U);
-  rig.child("a").rollBack("first");
+  EXPECT_EQ(harness.timeline().count("a", "lines 3"), 1U);
+  harness.child("a").rollBack("first");
   run();
-  EXPECT_EQ(rig.timeline().count("a", "lines 2"), 2U);
-  rig.child("a").loseFolder();
+  EXPECT_EQ(harness.timeline().count("a", "lines 2"), 2U);
+  harness.child("a").loseFolder();
   run();
-  EXPECT_EQ(rig.timeline().count("a", "lines 1"), 2U);
+  EXPECT_EQ(harness.timeline().count("a", "lines 1"), 2U);
 }
 
 TEST_F(ProcessTest, AFullDiskShowsInARunningProcessAndGoesAway) {
-  rig.add(shell("a",
-                "trap '' XFSZ; cd {state}; while :; do if dd if=/dev/zero of=f bs=1k count=8 2>/dev/null; "
-                "then echo written; else echo full; fi; sleep 0.01; done"));
-  rig.start("a");
-  ASSERT_TRUE(rig.awaitLine("a", "written", milliseconds(5'000)));
-  rig.child("a").limitFiles(1'000);
+  harness.add(
+      shell("a",
+            "trap '' XFSZ; cd {state}; while :; do if dd if=/dev/zero of=f bs=1k count=8 2>/dev/null; "
+            "then echo written; else echo full; fi; sleep 0.01; done"));
+  harness.start("a");
+  ASSERT_TRUE(harness.awaitLine("a", "written", milliseconds(5'000)));
+  harness.child("a").limitFiles(1'000);
   const auto until_ = [&](const char* word) {
-    const auto from = rig.timeline().entries().size();
-    return until([&] { return rig.timeline().count("a", word, from) > 2; });
+    const auto from = harness.timeline().entries().size();
+    return until([&] { return harness.timeline().count("a", word, from) > 2; });
   };
   EXPECT_TRUE(until_("full"));
-  rig.child("a").limitFiles(std::nullopt);
+  harness.child("a").limitFiles(std::nullopt);
   EXPECT_TRUE(until_("written"));
 }
 
 TEST_F(ProcessTest, ClocksRunFastAndJumpAlsoWhileTheyAreRead) {
-  // The seam itself, in this process: the program sees what the rig's clock shows.
-  TestClock clock(rig.folder() / "clock");
-  ::setenv("THISTLEYOKE_TEST_CLOCK", (rig.folder() / "clock").c_str(), 1);
+  // The seam itself, in this process: the program sees what the harness's clock shows.
+  TestClock clock(harness.folder() / "clock");
+  ::setenv("THISTLEYOKE_TEST_CLOCK", (harness.folder() / "clock").c_str(), 1);
   const auto real = [] {
     return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
   };
   EXPECT_LT(std::abs(clocks::steadyNow() - real()), 50'000);
   clock.rate(100.0);
   const auto begin = clocks::steadyNow(), realBegin = real();
-  rig.wait(milliseconds(50));
+  harness.wait(milliseconds(50));
   const double rate =
       static_cast<double>(clocks::steadyNow() - begin) / static_cast<double>(real() - realBegin);
   EXPECT_NEAR(rate, 100.0, 10.0);
@@ -329,10 +333,10 @@
   EXPECT_LT(clocks::wallNow(), wall - 50'000'000);
 }
 
-TEST_F(ProcessTest, NothingOutlivesTheRig) {
+TEST_F(ProcessTest, NothingOutlivesTheHarness) {
   pid_t pid = 0;
   {
-    Rig inner(io);
+    Harness inner(io);
     inner.add(shell("a", "echo up; exec sleep 60"));
     inner.start("a");
     ASSERT_TRUE(inner.awaitLine("a", "up", milliseconds(5'000)));
@@ -342,25 +346,25 @@
   EXPECT_EQ(::kill(pid, 0), -1);
 }
 
-TEST_F(ProcessTest, NothingOutlivesARigThatIsKilled) {
-  std::ofstream(rig.folder() / "s.toml") << R"(
+TEST_F(ProcessTest, NothingOutlivesAHarnessThatIsKilled) {
+  std::ofstream(harness.folder() / "s.toml") << R"(
 length_ms = 60000
 [[process]]
 name = "a"
 program = "/bin/sh"
 args = ["-c", "echo $$ > {folder}/pid; exec sleep 60"]
 )";
-  rig.add({"rig",
-           RIG,
-           {(rig.folder() / "s.toml").string(), "--folder", (rig.folder() / "inner").string()},
-           {},
-           {},
-           false});
-  rig.start("rig");
+  harness.add({"harness",
+               HARNESS,
+               {(harness.folder() / "s.toml").string(), "--folder", (harness.folder() / "inner").string()},
+               {},
+               {},
+               false});
+  harness.start("harness");
   pid_t pid = 0;
-  ASSERT_TRUE(until([&] { return bool(std::ifstream(rig.folder() / "inner/a/pid") >> pid) && pid > 0; }));
+  ASSERT_TRUE(until([&] { return bool(std::ifstream(harness.folder() / "inner/a/pid") >> pid) && pid > 0; }));
   ASSERT_EQ(::kill(pid, 0), 0);
-  rig.child("rig").kill();
+  harness.child("harness").kill();
   EXPECT_TRUE(until([&] { return ::kill(pid, 0) == -1; }));
 }
 
@@ -422,12 +426,12 @@
             parseScenario(kDrawn, "s", 3, "/bin").steps.front().atMs);
   const auto victims = [](std::uint64_t seed) {
     asio::io_context io;
-    Rig rig(io);
+    Harness harness(io);
     Scenario scenario = parseScenario(kDrawn, "s", seed, "/bin");
     scenario.lengthMs = 250;
-    EXPECT_TRUE(play(rig, scenario, seed).empty());
+    EXPECT_TRUE(play(harness, scenario, seed).empty());
     std::set<std::string> out;
-    for (Child* child : rig.children(".*"))
+    for (Child* child : harness.children(".*"))
       if (!child->running()) out.insert(child->name());
     return out;
   };
@@ -437,29 +441,29 @@
 }
 
 TEST_F(ProcessTest, AFailingScenarioPrintsItsSeedTheCommandAndTheTimeLine) {
-  std::ofstream(rig.folder() / "s.toml") << kDrawn << R"(
+  std::ofstream(harness.folder() / "s.toml") << kDrawn << R"(
 [[expect]]
 process = "p1"
 line = "never said"
 within_ms = 100
 )"
-                                         << "\n";
+                                             << "\n";
   std::string text;
   {
-    std::ifstream in(rig.folder() / "s.toml");
+    std::ifstream in(harness.folder() / "s.toml");
     text.assign(std::istreambuf_iterator<char>(in), {});
   }
-  std::ofstream(rig.folder() / "s.toml") << "length_ms = 250\n" << text;
-  rig.add({"rig", RIG, {(rig.folder() / "s.toml").string(), "--seed", "77"}, {}, {}, false});
-  rig.start("rig");
-  ASSERT_TRUE(until([&] { return !rig.child("rig").running(); }));
-  EXPECT_EQ(rig.timeline().count("rig", "rig: ended with status 1"), 1U);
-  EXPECT_EQ(rig.timeline().count("rig", "FAILED: p1: 'never said' showed 0 times"), 1U)
-      << rig.timeline().text();
-  EXPECT_EQ(rig.timeline().count("rig", "play it again: .*--seed 77"), 1U);
-  EXPECT_GE(rig.timeline().count("rig", "p[1-5] +ready"), 1U);
-  EXPECT_EQ(rig.timeline().count("rig", "\"holds\":false"), 1U);
+  std::ofstream(harness.folder() / "s.toml") << "length_ms = 250\n" << text;
+  harness.add({"harness", HARNESS, {(harness.folder() / "s.toml").string(), "--seed", "77"}, {}, {}, false});
+  harness.start("harness");
+  ASSERT_TRUE(until([&] { return !harness.child("harness").running(); }));
+  EXPECT_EQ(harness.timeline().count("harness", "harness: ended with status 1"), 1U);
+  EXPECT_EQ(harness.timeline().count("harness", "FAILED: p1: 'never said' showed 0 times"), 1U)
+      << harness.timeline().text();
+  EXPECT_EQ(harness.timeline().count("harness", "play it again: .*--seed 77"), 1U);
+  EXPECT_GE(harness.timeline().count("harness", "p[1-5] +ready"), 1U);
+  EXPECT_EQ(harness.timeline().count("harness", "\"holds\":false"), 1U);
 }
 
 }  // namespace
-}  // namespace quilltide::rig
+}  // namespace quilltide::harness
--- a/tests/http_bed.hpp
+++ b/tests/http_fixture.hpp
@@ -1,12 +1,12 @@
-// NetBed with the HTTP door switched on, and a client that writes raw bytes and reads whole answers.
+// NetFixture with the HTTP frontend switched on, and a client that writes raw bytes and reads whole answers.
 #pragma once
 
 #include <array>
 #include <optional>
 
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 
 struct HttpAnswer {
   int status = 0;
@@ -103,9 +103,9 @@
   std::shared_ptr<std::array<char, 16 * 1024>> chunk_ = std::make_shared<std::array<char, 16 * 1024>>();
 };
 
-class HttpBed : public NetBed {
+class HttpFixture : public NetFixture {
  protected:
-  HttpBed() {
+  HttpFixture() {
     product.http.emplace();
     product.http->listen = {asio::ip::make_address("127.0.0.1"), 0};
     product.http->answers = {60'000'000, 1'000};
@@ -133,4 +133,4 @@
   std::unique_ptr<HttpTalk> http;
 };
 
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/http_door_test.cpp
+++ b/tests/http_frontend_test.cpp
@@ -1,20 +1,20 @@
-// The HTTP door as its clients see it: messages in, states and ends out, and everything that can be sent
+// The HTTP frontend as its clients see it: messages in, states and ends out, and everything that can be sent
 // wrong.
 #include <sys/resource.h>
 
 #include <csignal>
 
-#include "doors/http/api.hpp"
-#include "http_bed.hpp"
+#include "frontend/http/api.hpp"
+#include "http_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
 
 // ---- One message ----
 
-TEST_F(HttpBed, TakesAMessageByHeadersAndDeliversItUnchanged) {
+TEST_F(HttpFixture, TakesAMessageByHeadersAndDeliversItUnchanged) {
   startBoth();
   const std::string body("a\0\r\nb", 5);
   const HttpAnswer a = http->ask("POST", "/v1/messages", body,
@@ -34,7 +34,7 @@
   EXPECT_EQ(state.parsed()["attempts"], 1);
 }
 
-TEST_F(HttpBed, MakesAnIdWhereNoneIsGiven) {
+TEST_F(HttpFixture, MakesAnIdWhereNoneIsGiven) {
   startBoth();
   const HttpAnswer a = http->ask("POST", "/v1/messages?class=safe&destination=7&time_left_ms=5000", "x");
   ASSERT_EQ(a.status, 202);
@@ -43,7 +43,7 @@
   EXPECT_EQ(finalOf(id), "delivered");
 }
 
-TEST_F(HttpBed, TellsWhatIsWrongWithAMessage) {
+TEST_F(HttpFixture, TellsWhatIsWrongWithAMessage) {
   startBoth();
   const std::string good = "class=safe&destination=7&time_left_ms=5000";
   const std::vector<std::pair<std::string, int>> bad = {
@@ -82,7 +82,7 @@
   EXPECT_EQ(owed() + target.requests.size(), effects("h1") + owed());
 }
 
-TEST_F(HttpBed, AnswersWhatIsNotThere) {
+TEST_F(HttpFixture, AnswersWhatIsNotThere) {
   startBoth();
   EXPECT_EQ(http->ask("GET", "/v1/messages/nobody").status, 404);
   EXPECT_EQ(http->ask("GET", "/nothing").status, 404);
@@ -94,7 +94,7 @@
 }
 
 // A refusal for want of room is this forwarder's, and tells a wait.
-TEST_F(HttpBed, TellsAWaitWithARefusal) {
+TEST_F(HttpFixture, TellsAWaitWithARefusal) {
   target.handler = [](Link&) {};
   config["settings"]["limits"]["maxOpen"] = 1;
   startBoth();
@@ -108,7 +108,7 @@
   EXPECT_EQ(http->ask("GET", "/v1/messages/more").status, 404);
 }
 
-// Each word of the engine has one answer of the door's; a wait is rounded up, never down.
+// Each word of the engine has one answer of the frontend's; a wait is rounded up, never down.
 TEST(HttpApi, HasAnAnswerForEachReply) {
   const Names names{{"safe"}, {}, {}};
   const auto problem = [&](Reply::Kind kind, Reply::Reason reason, Micros wait) {
@@ -129,7 +129,7 @@
 
 // ---- Many ----
 
-TEST_F(HttpBed, AnswersABatchLineByLine) {
+TEST_F(HttpFixture, AnswersABatchLineByLine) {
   startBoth();
   const std::string body =
       R"({"id":"b1","class":"safe","destination":7,"time_left_ms":5000,"body":"one"})"
@@ -164,7 +164,7 @@
   EXPECT_EQ(target.requests[first ? 1 : 0].body(), std::string("\0\xff\n\r", 4));
 }
 
-TEST_F(HttpBed, BoundsABatch) {
+TEST_F(HttpFixture, BoundsABatch) {
   product.http->batchLines = 3;
   startBoth();
   EXPECT_EQ(http->ask("POST", "/v1/messages/batch", "{}\n{}\n{}\n{}\n").status, 413);
@@ -174,7 +174,7 @@
 
 // ---- The same id ----
 
-TEST_F(HttpBed, TakesTheSameIdOnceThroughBothDoorsAtTheSameMoment) {
+TEST_F(HttpFixture, TakesTheSameIdOnceThroughBothFrontendsAtTheSameMoment) {
   startBoth();
   client->enqueue("same", "keyed");
   http->write(HttpTalk::request(
@@ -186,7 +186,7 @@
   EXPECT_EQ(effects("same"), 1U);
 }
 
-TEST_F(HttpBed, KnowsAnIdWhileItIsHeldAfterItEndedAndAfterARestart) {
+TEST_F(HttpFixture, KnowsAnIdWhileItIsHeldAfterItEndedAndAfterARestart) {
   bool silent = true;
   target.handler = [&](Link& link) {
     if (!silent) link.write(FakeServer::answer(200));
@@ -219,7 +219,7 @@
 }
 
 // What could not be written was not taken on: the next try with that id is a new message and no repeat.
-TEST_F(HttpBed, DoesNotTakeAnIdForKnownThatItRefusedForItsDisk) {
+TEST_F(HttpFixture, DoesNotTakeAnIdForKnownThatItRefusedForItsDisk) {
   startBoth();
   rlimit before{};
   getrlimit(RLIMIT_FSIZE, &before);
@@ -236,7 +236,7 @@
 
 // ---- Final answers ----
 
-TEST_F(HttpBed, TellsEachKindOfEndAndKeepsItOverARestart) {
+TEST_F(HttpFixture, TellsEachKindOfEndAndKeepsItOverARestart) {
   target.handler = [](Link& link) {
     const std::string id(link.request["X-Request-Id"]);
     if (id == "lost") return link.reset();
@@ -257,7 +257,7 @@
 
 // Between an outcome and its write the end may not be told, and it is not forgotten either: whoever asks then
 // finds the message still open. Looked at after every single step of the loop.
-TEST_F(HttpBed, HasNoMomentWithoutAnAnswer) {
+TEST_F(HttpFixture, HasNoMomentWithoutAnAnswer) {
   startBoth();
   client->enqueue("m", "safe");
   EXPECT_EQ(client->line(), "+OK");
@@ -275,7 +275,7 @@
   EXPECT_EQ(seen.answered->final, Final::delivered);
 }
 
-TEST_F(HttpBed, ForgetsAnAnswerAfterItsTimeAndSaysSo) {
+TEST_F(HttpFixture, ForgetsAnAnswerAfterItsTimeAndSaysSo) {
   product.http->answers = {50'000, 1'000};
   startBoth();
   ASSERT_EQ(http->hand("m", "safe").status, 202);
@@ -287,7 +287,7 @@
 }
 
 // Answers are promised for a time: with every place for them taken nothing new is taken on.
-TEST_F(HttpBed, RefusesRatherThanForgetAnAnswerBeforeItsTime) {
+TEST_F(HttpFixture, RefusesRatherThanForgetAnAnswerBeforeItsTime) {
   product.http->answers = {60'000'000, 3};
   startBoth();
   for (const char* id : {"a", "b", "c"}) {
@@ -298,7 +298,7 @@
   EXPECT_EQ(finalOf("a"), "delivered");
 }
 
-TEST_F(HttpBed, ALongPollHearsTheEndAtOnceAndElseTheState) {
+TEST_F(HttpFixture, ALongPollHearsTheEndAtOnceAndElseTheState) {
   target.handler = [](Link&) {};
   startBoth();
   ASSERT_EQ(http->hand("m", "safe").status, 202);
@@ -317,7 +317,7 @@
 
 // Those who wait take no place that others need to hand messages in, and one that went away gives its place
 // back.
-TEST_F(HttpBed, LeavesPlacesFreeOfThoseWhoWait) {
+TEST_F(HttpFixture, LeavesPlacesFreeOfThoseWhoWait) {
   target.handler = [](Link&) {};
   product.http->connections = 8;
   startBoth();
@@ -347,7 +347,7 @@
   return ids;
 }
 
-TEST_F(HttpBed, StreamsEndsInOrderAndResumesFromAPlaceOverARestart) {
+TEST_F(HttpFixture, StreamsEndsInOrderAndResumesFromAPlaceOverARestart) {
   startBoth();
   auto stream = talk();
   stream->write(HttpTalk::request("GET", "/v1/ends?after=0"));
@@ -374,7 +374,7 @@
   EXPECT_EQ(talk()->ask("GET", "/v1/ends?after=x-1").status, 400);
 }
 
-TEST_F(HttpBed, SaysWhereAStreamHasAGapOrAnotherPast) {
+TEST_F(HttpFixture, SaysWhereAStreamHasAGapOrAnotherPast) {
   product.http->answers = {50'000, 1'000};
   startBoth();
   for (const char* id : {"a", "b"}) {
@@ -394,7 +394,7 @@
 }
 
 // Who does not read its stream holds no more than one piece of it, and none of the others up.
-TEST_F(HttpBed, AStreamThatIsNotReadHoldsNobodyUp) {
+TEST_F(HttpFixture, AStreamThatIsNotReadHoldsNobodyUp) {
   startBoth();
   auto deaf = talk(), good = talk();
   deaf->stopReading();
@@ -411,7 +411,7 @@
   int status;
 };
 
-class WrongRequests : public HttpBed {};
+class WrongRequests : public HttpFixture {};
 
 // Each is answered with an error and a close, and nothing is taken on that was not answered: no second
 // request may be found in what follows.
@@ -473,7 +473,7 @@
   EXPECT_TRUE(target.requests.empty());
 }
 
-TEST_F(HttpBed, ReadsChunkedBodiesAndBoundsThem) {
+TEST_F(HttpFixture, ReadsChunkedBodiesAndBoundsThem) {
   startBoth();
   const std::string line =
       "POST /v1/messages?id=c&class=safe&destination=7&time_left_ms=5000 HTTP/1.1\r\nHost: f\r\n"
@@ -489,7 +489,7 @@
   EXPECT_EQ(big->answer().status, 413);
 }
 
-TEST_F(HttpBed, AnswersAPipelineInOrder) {
+TEST_F(HttpFixture, AnswersAPipelineInOrder) {
   startBoth();
   std::string all;
   for (int i = 0; i < 20; ++i)
@@ -504,7 +504,7 @@
 }
 
 // A pipeline without a message is answered whole and in order too, but has to wait for turns.
-TEST_F(HttpBed, AnswersAFloodOfQuestionsInTurns) {
+TEST_F(HttpFixture, AnswersAFloodOfQuestionsInTurns) {
   startBoth();
   std::string all;
   for (int i = 0; i < 60; ++i)
@@ -520,7 +520,7 @@
   EXPECT_EQ(http->answer().status, 202);
 }
 
-TEST_F(HttpBed, GoesOnAfter100Continue) {
+TEST_F(HttpFixture, GoesOnAfter100Continue) {
   startBoth();
   http->write(
       "POST /v1/messages?id=e&class=safe&destination=7&time_left_ms=5000 HTTP/1.1\r\nHost: f\r\n"
@@ -534,7 +534,7 @@
   EXPECT_EQ(http->answer().status, 413);
 }
 
-TEST_F(HttpBed, EndsARequestThatIsTooSlow) {
+TEST_F(HttpFixture, EndsARequestThatIsTooSlow) {
   product.http->request = std::chrono::milliseconds(150);
   startBoth();
   const std::string slow =
@@ -551,8 +551,8 @@
   EXPECT_EQ(owed(), 0U);
 }
 
-// Many bodies that do not end may not take more memory than the door's share: further ones are told so.
-TEST_F(HttpBed, BoundsUnfinishedBodiesTogether) {
+// Many bodies that do not end may not take more memory than the frontend's share: further ones are told so.
+TEST_F(HttpFixture, BoundsUnfinishedBodiesTogether) {
   config["limits"]["memory_mb"] = 4;  // an eighth, and of it half: 250,000 bytes
   config["limits"]["disk_mb"] = 3;
   product.http->answers = {60'000'000, 100};
@@ -574,7 +574,7 @@
 
 // ---- Places ----
 
-TEST_F(HttpBed, TurnsAwayWithAnAnswerWhenEveryPlaceIsTaken) {
+TEST_F(HttpFixture, TurnsAwayWithAnAnswerWhenEveryPlaceIsTaken) {
   product.http->connections = 8;
   target.handler = [](Link&) {};
   startBoth();
@@ -594,10 +594,10 @@
   EXPECT_EQ(a.header("Retry-After"), "1");
   EXPECT_TRUE(turned->ended(std::chrono::seconds(2)));
   client->write(FakeClient::command({"PING"}));
-  EXPECT_EQ(client->line(), "+PONG");  // the other door has its own places
+  EXPECT_EQ(client->line(), "+PONG");  // the other frontend has its own places
 }
 
-TEST_F(HttpBed, MakesRoomFromThoseThatNeverAskedAnything) {
+TEST_F(HttpFixture, MakesRoomFromThoseThatNeverAskedAnything) {
   product.http->connections = 8;
   startBoth();
   std::vector<std::unique_ptr<HttpTalk>> silent;
@@ -610,7 +610,7 @@
 
 // ---- Ends of the process ----
 
-TEST_F(HttpBed, DrainsBothDoors) {
+TEST_F(HttpFixture, DrainsBothFrontends) {
   std::vector<std::shared_ptr<FakeServer::Link>> held;
   target.handler = [&](Link&) {};
   startBoth();
@@ -634,4 +634,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/hang_test.cpp
+++ b/tests/hung_upstreams_test.cpp
@@ -1,15 +1,15 @@
 // Destinations that fall silent with calls out, and what their return looks like to those that waited.
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
 
-class HangBed : public NetBed {
+class HangFixture : public NetFixture {
  protected:
   // Single calls; the target answers after 30 ms until it is told to fall silent.
-  HangBed() {
+  HangFixture() {
     config["settings"]["familyInfo"]["kindBatch"] = {1};
     target.handler = [this](Link& asked) {
       if (silent) return void(++swallowed);
@@ -35,7 +35,7 @@
 
 // Unsafe messages are waited for until their deadline. When they fill the places of a destination that hung,
 // the trial that finds it well again must not have to wait as long.
-TEST_F(HangBed, TriesAgainThoughHungCallsFillTheBulkhead) {
+TEST_F(HangFixture, TriesAgainThoughHungCallsFillTheBulkhead) {
   setAims(200'000);
   start();
   growTickets();
@@ -50,7 +50,7 @@
 
 // What was held while the breaker was open finds one ticket when a trial has closed it. That is no new error:
 // the rest follows at once and not by one trial after the other.
-TEST_F(HangBed, WhatWaitedDoesNotParkADestinationThatIsJustBack) {
+TEST_F(HangFixture, WhatWaitedDoesNotParkADestinationThatIsJustBack) {
   setAims(2'500'000);
   start();
   growTickets();
@@ -63,13 +63,13 @@
   silent = false;
   const std::size_t before = target.requests.size();
   ASSERT_TRUE(until([&] { return target.requests.size() > before; }));
-  EXPECT_TRUE(
-      loops.until([&] { return target.requests.size() >= before + 11; }, std::chrono::milliseconds(900 * kSlower)));
+  EXPECT_TRUE(loops.until([&] { return target.requests.size() >= before + 11; },
+                          std::chrono::milliseconds(900 * kSlower)));
 }
 
 // A call is lost with all that it carries. Where calls with many messages went unanswered and a single one
 // was answered, the next ones carry few and not as many as before.
-TEST_F(HangBed, SendsLessAtOnceWhereCallsGetLost) {
+TEST_F(HangFixture, SendsLessAtOnceWhereCallsGetLost) {
   setAims(1'000'000);
   config["settings"]["familyInfo"]["kindBatch"] = {10};
   std::vector<std::size_t> sizes;
@@ -93,4 +93,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -2,16 +2,16 @@
 // senders.
 #include <gtest/gtest.h>
 
-#include "bed.hpp"
-#include "fleet_bed.hpp"
+#include "fleet_simulation.hpp"
+#include "sender_fixture.hpp"
 
 namespace quilltide {
 namespace {
 
-using testbed::Bed;
-using testbed::FleetBed;
-using testbed::Place;
-using testbed::Tally;
+using fixtures::FleetSimulation;
+using fixtures::Place;
+using fixtures::SenderFixture;
+using fixtures::Tally;
 
 constexpr Micros kSecond = 1'000'000;
 
@@ -23,7 +23,7 @@
   for (const std::uint64_t seed : {1U, 2U}) {
     Place small;
     small.table = 12;
-    FleetBed fleet(GetParam(), Bed::plain(), {{1, small}}, seed);
+    FleetSimulation fleet(GetParam(), SenderFixture::plain(), {{1, small}}, seed);
     fleet.traffic(1, 30, 0, 20 * kSecond);
     fleet.run(25 * kSecond);
     const Tally day = fleet.sum(1, 0, 25 * kSecond);
@@ -40,7 +40,7 @@
     Place small;
     small.table = 9;
     small.service = 60'000;
-    FleetBed fleet(100, Bed::plain(), {{1, small}}, seed);
+    FleetSimulation fleet(100, SenderFixture::plain(), {{1, small}}, seed);
     fleet.traffic(1, 50, 0, 40 * kSecond);
     fleet.run(45 * kSecond);
     const Tally day = fleet.sum(1, 0, 45 * kSecond);
@@ -56,11 +56,11 @@
 // away, it works for callers that have gone and tells nobody anything for as long as they go on. Here it
 // takes ten calls a second, and a hundred of a thousand senders: such services grow with their fleets.
 TEST_P(LargeFleet, AHerdThatStartsTogetherHasItsListSoon) {
-  Settings s = Bed::plain();
+  Settings s = SenderFixture::plain();
   s.directoryOnRequest = true;
   s.askWithin = 10 * kSecond;
   for (const std::uint64_t seed : {1U, 2U}) {
-    FleetBed fleet(GetParam(), s, {{1, Place{}}}, seed, 50'000);
+    FleetSimulation fleet(GetParam(), s, {{1, Place{}}}, seed, 50'000);
     fleet.directory.each = std::min<Micros>(100'000, 10 * kSecond / GetParam());
     fleet.run(40 * kSecond);
     EXPECT_EQ(fleet.directory.served, static_cast<std::size_t>(GetParam())) << "seed " << seed;
@@ -78,7 +78,7 @@
       Place limited;
       limited.limit = 40;
       limited.tellsWait = tells;
-      FleetBed fleet(100, Bed::plain(), {{1, limited}}, seed);
+      FleetSimulation fleet(100, SenderFixture::plain(), {{1, limited}}, seed);
       fleet.traffic(1, 60, 0, 4 * kSecond);  // above the limit for a while, below it afterwards
       fleet.traffic(1, 36, 4 * kSecond, 20 * kSecond);
       fleet.run(20 * kSecond);
@@ -100,7 +100,7 @@
       limited.limit = 30;
       limited.refusedCount = true;
       limited.tellsWait = tells;
-      FleetBed fleet(100, Bed::plain(), {{1, limited}}, seed);
+      FleetSimulation fleet(100, SenderFixture::plain(), {{1, limited}}, seed);
       fleet.traffic(1, 48, 0, 2 * kSecond);
       fleet.traffic(1, 24, 2 * kSecond, 40 * kSecond);
       fleet.run(40 * kSecond);
@@ -123,7 +123,7 @@
     limited.limit = 46;
     limited.span = 2 * kSecond;
     limited.refusedCount = true;
-    FleetBed fleet(GetParam(), Bed::plain(), {{1, limited}}, seed);
+    FleetSimulation fleet(GetParam(), SenderFixture::plain(), {{1, limited}}, seed);
     fleet.traffic(1, 18, 0, 40 * kSecond);
     fleet.traffic(1, 90, 3 * kSecond, 4 * kSecond);
     fleet.run(40 * kSecond);
@@ -141,7 +141,7 @@
     limited.limit = 46;
     limited.span = 2 * kSecond;
     limited.refusedCount = true;
-    FleetBed fleet(300, Bed::plain(), {{1, limited}}, seed);
+    FleetSimulation fleet(300, SenderFixture::plain(), {{1, limited}}, seed);
     fleet.traffic(1, 25.5, 0, 60 * kSecond);
     fleet.traffic(1, 90, 3 * kSecond, 4 * kSecond);
     fleet.run(60 * kSecond);
@@ -158,7 +158,7 @@
     Place limited;
     limited.limit = 60;
     limited.refusedCount = true;
-    FleetBed fleet(GetParam(), Bed::plain(), {{1, limited}}, seed);
+    FleetSimulation fleet(GetParam(), SenderFixture::plain(), {{1, limited}}, seed);
     fleet.traffic(1, 40, 0, 50 * kSecond);
     fleet.run(9 * kSecond);
     fleet.place(1).limit = 20;
@@ -186,7 +186,7 @@
       limited.limit = 80;
       limited.refusedCount = true;
       limited.tellsWait = tells;
-      FleetBed fleet(300, Bed::plain(), {{1, limited}}, seed);
+      FleetSimulation fleet(300, SenderFixture::plain(), {{1, limited}}, seed);
       fleet.traffic(1, 60, 0, 50 * kSecond);
       fleet.run(10 * kSecond);
       fleet.place(1).limit = 48;
@@ -216,7 +216,7 @@
       Place limited;
       limited.limit = 60;
       limited.refusedCount = counted;
-      FleetBed fleet(300, Bed::plain(), {{1, limited}}, seed);
+      FleetSimulation fleet(300, SenderFixture::plain(), {{1, limited}}, seed);
       fleet.traffic(1, 28, 0, 50 * kSecond, 0, [](std::mt19937_64&) { return std::size_t{0}; });
       fleet.traffic(1, 12, 0, 50 * kSecond, 0, [](std::mt19937_64& random) { return 1 + random() % 299; });
       fleet.run(9 * kSecond);
@@ -237,7 +237,7 @@
   for (const std::uint64_t seed : {1U, 2U, 3U}) {
     Place limited;
     limited.limit = 60;
-    FleetBed fleet(100, Bed::plain(), {{1, limited}}, seed);
+    FleetSimulation fleet(100, SenderFixture::plain(), {{1, limited}}, seed);
     fleet.traffic(1, 45, 0, 50 * kSecond);
     fleet.run(10 * kSecond);
     fleet.place(1).limit = 20;
@@ -257,11 +257,11 @@
 // trials and ramps add up.)
 TEST_P(LargeFleet, SparesADestinationThatReturnsCold) {
   for (const std::uint64_t seed : {1U, 2U}) {
-    Settings s = Bed::plain();
+    Settings s = SenderFixture::plain();
     Place away;
     away.downFrom = 10 * kSecond;
     away.downTo = 15 * kSecond;
-    FleetBed fleet(GetParam(), s, {{1, away}}, seed);
+    FleetSimulation fleet(GetParam(), s, {{1, away}}, seed);
     fleet.traffic(1, 40, 0, 50 * kSecond);
     fleet.run(60 * kSecond);
     const Tally down = fleet.sum(1, 10 * kSecond, 15 * kSecond);
@@ -287,7 +287,7 @@
   for (std::uint64_t seed = 1; seed <= 12; ++seed) {
     Place limited;
     limited.limit = 40;
-    FleetBed fleet(100, Bed::plain(), {{1, limited}}, seed);
+    FleetSimulation fleet(100, SenderFixture::plain(), {{1, limited}}, seed);
     fleet.traffic(1, 36, 0, 30 * kSecond, 0, [](std::mt19937_64&) { return std::size_t{0}; });
     fleet.run(34 * kSecond);
     const Tally day = fleet.sum(1, 0, 34 * kSecond);
@@ -299,23 +299,23 @@
 
 // A limit that is listed is believed: refusals cut no sender of a hundred below half of its part of it.
 TEST(LargeFleetSettings, AListedLimitBoundsTheCut) {
-  Settings s = Bed::plain();
+  Settings s = SenderFixture::plain();
   s.fleetSize = 100;
   s.weights = Weights::nominal;
-  Bed bed(s);
+  SenderFixture fixture(s);
   DirectoryView view;
   view.entries.push_back({"a", 1, 0, 0, 400, Listing::inService});
-  bed.give({view});
+  fixture.give({view});
   for (int i = 0; i < 4; ++i) {
-    bed.arrive();
-    bed.stepUntilCall(8 * kSecond);
-    ASSERT_EQ(bed.out(), 1U);
-    bed.finish(Ending::busy);
+    fixture.arrive();
+    fixture.stepUntilCall(8 * kSecond);
+    ASSERT_EQ(fixture.out(), 1U);
+    fixture.finish(Ending::busy);
   }
-  const Micros from = bed.now();
-  bed.stepUntilCall(20 * kSecond);
-  const Micros paused = bed.now() - from;
-  if (bed.out() > 0) bed.finish(Ending::busy);
+  const Micros from = fixture.now();
+  fixture.stepUntilCall(20 * kSecond);
+  const Micros paused = fixture.now() - from;
+  if (fixture.out() > 0) fixture.finish(Ending::busy);
   EXPECT_LT(paused,
             3 * kSecond);  // 2 s at most by the pause of the fourth refusal, and a call at two a second
 }
@@ -324,34 +324,34 @@
 // there, and a limit that was lowered under hundreds of senders is met by fewer calls sooner. Ten messages a
 // second, then three rounds of refusals: 0.9 s in the mean with the cut of single messages.
 TEST(LargeFleetSettings, BatchesWaitLongerForTheNextCall) {
-  Settings s = Bed::plain();
+  Settings s = SenderFixture::plain();
   s.fleetSize = 100;
   s.maxOpen = 1'000;
   s.kinds = {{false, 10}};
-  Bed bed(s);
-  bed.list({"a"});
+  SenderFixture fixture(s);
+  fixture.list({"a"});
   const auto endAll = [&](Ending ending) {
-    while (bed.out() > 0) bed.finish(ending);
+    while (fixture.out() > 0) fixture.finish(ending);
   };
   constexpr int kCycles = 30;  // one differs from the next by the jitter
   Micros waited = 0;
   for (int cycle = 0; cycle < kCycles; ++cycle) {
     for (int i = 0; i < 60; ++i) {
-      bed.arrive();
+      fixture.arrive();
       endAll(Ending::done);
-      bed.step(100'000);
+      fixture.step(100'000);
     }
     endAll(Ending::done);
-    const Micros from = bed.now();
-    for (int refused = 0; refused < 3 && bed.now() < from + 60 * kSecond;) {
-      if (bed.out() > 0) {
+    const Micros from = fixture.now();
+    for (int refused = 0; refused < 3 && fixture.now() < from + 60 * kSecond;) {
+      if (fixture.out() > 0) {
         endAll(Ending::busy);
         ++refused;
       }
-      if ((bed.now() / 20'000) % 5 == 0) bed.arrive();
-      bed.step(20'000);
+      if ((fixture.now() / 20'000) % 5 == 0) fixture.arrive();
+      fixture.step(20'000);
     }
-    waited += bed.now() - from;
+    waited += fixture.now() - from;
   }
   EXPECT_GT(waited / kCycles, 1'100'000);
 }
@@ -359,34 +359,34 @@
 TEST(LargeFleetSettings, AbsentOnesEndEveryMessage) {
   for (const int size : {-1, 0, 5, 1'000'000'000}) {
     for (const Micros within : {Micros{-1}, Micros{0}, Micros{1}, 10 * kSecond}) {
-      Settings s = Bed::plain();
+      Settings s = SenderFixture::plain();
       s.fleetSize = size;
       s.askWithin = within;
       s.directoryOnRequest = true;
       s.connectionIdle = within;
-      Bed bed(s);
-      bed.list({"a"});
+      SenderFixture fixture(s);
+      fixture.list({"a"});
       for (int i = 0; i < 20; ++i) {
-        bed.arrive();
-        if (bed.out() > 0) bed.finish(i % 2 == 0 ? Ending::busy : Ending::done);
-        bed.step(100'000);
+        fixture.arrive();
+        if (fixture.out() > 0) fixture.finish(i % 2 == 0 ? Ending::busy : Ending::done);
+        fixture.step(100'000);
       }
       for (int i = 0; i < 400; ++i) {
-        if (bed.out() > 0) bed.finish(Ending::busy);
-        bed.step(100'000);
+        if (fixture.out() > 0) fixture.finish(Ending::busy);
+        fixture.step(100'000);
       }
-      EXPECT_EQ(bed.ended(), 20U) << size << " senders, askWithin " << within;
-      EXPECT_GE(bed.watches(), 1U) << size << " senders, askWithin " << within;
+      EXPECT_EQ(fixture.ended(), 20U) << size << " senders, askWithin " << within;
+      EXPECT_GE(fixture.watches(), 1U) << size << " senders, askWithin " << within;
     }
   }
 }
 
 // A fleet of few asks at once, as ever: nobody else is in its way.
 TEST(SmallFleet, AsksInItsFirstRound) {
-  Settings s = Bed::plain();
+  Settings s = SenderFixture::plain();
   s.directoryOnRequest = true;
   s.askWithin = 10 * kSecond;
-  FleetBed fleet(3, s, {{1, Place{}}}, 1);
+  FleetSimulation fleet(3, s, {{1, Place{}}}, 1);
   fleet.directory.each = 20'000;
   fleet.run(kSecond / 10);
   EXPECT_EQ(fleet.directory.served, 3U);
--- a/tests/spoilt_test.cpp
+++ b/tests/malformed_responses_test.cpp
@@ -1,14 +1,14 @@
 // What comes back from targets and cannot be believed, or brings more than belongs to it.
-#include "carriers/http/answer.hpp"
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
+#include "upstream/http/answer.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
 
 // A 1xx answer says nothing of the call: the one that counts comes behind it, at once or later.
-TEST_F(NetBed, ReadsOnPastInterimAnswers) {
+TEST_F(NetFixture, ReadsOnPastInterimAnswers) {
   std::shared_ptr<Link> held;
   target.handler = [&](Link& link) {
     link.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
@@ -28,7 +28,7 @@
 }
 
 // Interim answers without end are no answer: the call ends, and its connection with it.
-TEST_F(NetBed, BoundsInterimAnswers) {
+TEST_F(NetFixture, BoundsInterimAnswers) {
   target.handler = [](Link& link) {
     for (int i = 0; i < 40; ++i) link.write("HTTP/1.1 102 Processing\r\n\r\n");
   };
@@ -40,7 +40,7 @@
 
 // A refusal that cannot be read to its end proves nothing: the call may have run, so an unsafe message is
 // given up, soon and not at its deadline, and no wait or 410 of such an answer is believed.
-TEST_F(NetBed, DoesNotBelieveARefusalThatIsSpoilt) {
+TEST_F(NetFixture, DoesNotBelieveARefusalThatIsSpoilt) {
   const std::vector<std::string> spoilt = {
       "HTTP/1.1 503 X\r\nContent-Length: 40\r\n\r\nshort",
       "HTTP/1.1 429 X\r\nX-Retry-In-Ms: 100\r\nContent-Length: 9",
@@ -68,7 +68,7 @@
 
 // A first line with 200 to a single message is true, whatever comes behind it; nothing but a first line is:
 // an answer that was never read must not count as 200.
-TEST_F(NetBed, BelievesAFirstLineWith200WhateverFollows) {
+TEST_F(NetFixture, BelievesAFirstLineWith200WhateverFollows) {
   const std::vector<std::string> answers = {
       "HTTP/1.1 200 OK\r\nno header at all\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
       "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", "HTTP/1.1 200 OK\r\nX-Half: a",
@@ -88,7 +88,7 @@
 
 // What belongs to nothing, right behind a good answer or a little later, costs the connection and not the
 // answer, and is never taken for the next call's.
-TEST_F(NetBed, DropsAConnectionWithMoreThanItsAnswer) {
+TEST_F(NetFixture, DropsAConnectionWithMoreThanItsAnswer) {
   target.handler = [&](Link& link) {
     if (target.requests.size() == 1) return link.write(FakeServer::answer(200) + FakeServer::answer(503));
     if (target.requests.size() == 2)
@@ -110,7 +110,7 @@
 
 // The answer for several is believed as a whole or not at all: beside a line that cannot be read, "later"
 // does not prove that nothing ran.
-TEST_F(NetBed, BelievesNoLineOfASpoiltBatch) {
+TEST_F(NetFixture, BelievesNoLineOfASpoiltBatch) {
   bool slow = true;
   target.handler = [&](Link& link) {
     if (link.request.target() == "/receive") {
@@ -153,7 +153,7 @@
 
 // Answers that cannot be read come from any target alike: they are counted, but a destination that gives
 // some of them lives, and is not parked for two in a row.
-TEST_F(NetBed, DoesNotParkADestinationForAFewSpoiltAnswers) {
+TEST_F(NetFixture, DoesNotParkADestinationForAFewSpoiltAnswers) {
   target.handler = [&](Link& link) {
     const bool bad = target.requests.size() == 2 || target.requests.size() == 3;
     link.write(bad ? "noise\r\n\r\n" : FakeServer::answer(200));
@@ -169,4 +169,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/rude_test.cpp
+++ b/tests/misbehaving_clients_test.cpp
@@ -2,9 +2,9 @@
 #include <list>
 
 #include "config/budget.hpp"
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
@@ -12,7 +12,7 @@
 
 // Each is owed an error or a close within 3 s of connecting; the one that is known to be well keeps its
 // connection, though it rests as long.
-TEST_F(NetBed, EndsWhoSaysNothingOrHalfARequest) {
+TEST_F(NetFixture, EndsWhoSaysNothingOrHalfARequest) {
   start();
   client->enqueue("m1", "safe");
   ASSERT_EQ(client->line(), "+OK");
@@ -29,7 +29,7 @@
 
 // With nothing but silent ones, and ones with half a request, in all places, a new client is still served, at
 // once.
-TEST_F(NetBed, ServesANewClientWhileSilentOnesHoldEveryPlace) {
+TEST_F(NetFixture, ServesANewClientWhileSilentOnesHoldEveryPlace) {
   config["limits"]["sockets"] = 64;
   start();
   client->enqueue("m0", "safe");
@@ -49,7 +49,7 @@
 
 // A flood of requests that hand nothing in is answered whole and in order, but in turns with a wait between:
 // the loop has time for the others.
-TEST_F(NetBed, AnswersAFloodOfPingsInTurns) {
+TEST_F(NetFixture, AnswersAFloodOfPingsInTurns) {
   start();
   std::string flood;
   for (int i = 0; i < 1'000; ++i) flood += FakeClient::command({"PING"});
@@ -63,7 +63,7 @@
 
 // The end of the service in the middle of a flood: none of what had arrived stays
 // without its answer.
-TEST_F(NetBed, AnswersWhatHasArrivedOfAFloodAtTheEndOfTheService) {
+TEST_F(NetFixture, AnswersWhatHasArrivedOfAFloodAtTheEndOfTheService) {
   start();
   std::string flood;
   for (int i = 0; i < 300; ++i) flood += FakeClient::command({"PING"});
@@ -78,7 +78,7 @@
 }
 
 // A length that cannot be right is turned away at its first line: its bytes are not waited for.
-TEST_F(NetBed, TurnsABadLengthAwayAtItsHeader) {
+TEST_F(NetFixture, TurnsABadLengthAwayAtItsHeader) {
   start();
   const std::vector<std::string> bad = {
       "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nm1\r\n$1\r\nc\r\n$60000000\r\n",
@@ -103,7 +103,7 @@
 
 // hiredis takes any two bytes for a word's end. With a length that is short by some bytes the request must
 // not be taken on with a body that is cut.
-TEST_F(NetBed, DoesNotTakeOnARequestWithAWrongLength) {
+TEST_F(NetFixture, DoesNotTakeOnARequestWithAWrongLength) {
   start();
   client->write(
       "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nm1\r\n$20\r\nc=safe,d=8000,dest=7\r\n$3\r\nhello\r\n");
@@ -115,7 +115,7 @@
 
 // The error reaches a client that is still sending: closing on its unread bytes would send a reset, which may
 // destroy what was written before it.
-TEST_F(NetBed, AnErrorSurvivesWhatTheClientStillSends) {
+TEST_F(NetFixture, AnErrorSurvivesWhatTheClientStillSends) {
   start();
   for (int i = 0; i < 20; ++i) {
     FakeClient flood(loops, forwarder->address());
@@ -127,7 +127,7 @@
 
 // Hundreds of commands at once that are all wrong: a few errors end the connection; one that errs now and
 // then keeps it.
-TEST_F(NetBed, AFewErrorsInARowEndAConnection) {
+TEST_F(NetFixture, AFewErrorsInARowEndAConnection) {
   start();
   std::string many;
   for (int i = 0; i < 300; ++i) many += FakeClient::command({"NONSENSE"});
@@ -146,7 +146,7 @@
 }
 
 // Answers to a client that does not read them do not pile up: its requests are left unread meanwhile.
-TEST_F(NetBed, ReadsNoMoreFromAClientThatReadsNoAnswers) {
+TEST_F(NetFixture, ReadsNoMoreFromAClientThatReadsNoAnswers) {
   start();
   tcp::socket deaf(io);
   deaf.open(tcp::v4());
@@ -177,7 +177,7 @@
 }
 
 // All parts fit into the limits together, whatever these are.
-TEST_F(NetBed, DealsOutItsLimits) {
+TEST_F(NetFixture, DealsOutItsLimits) {
   for (const std::size_t sockets : {64U, 256U, 384U, 1'024U}) {
     for (const int slots : {3, 12, 60}) {
       config["limits"] = {{"sockets", sockets}, {"memory_mb", 32}};
@@ -185,7 +185,7 @@
       const Budget b = budgetOf(parseConfig(config, "x"));
       EXPECT_LE(b.resp.connections + b.targets + kOwnDescriptors, sockets);
       EXPECT_LE(b.resp.bytes, 8'000'000U);
-      EXPECT_EQ(b.http.connections + b.http.bytes, 0U);  // a door that is off costs the others nothing
+      EXPECT_EQ(b.http.connections + b.http.bytes, 0U);  // a frontend that is off costs the others nothing
       if (sockets >= 256) {
         EXPECT_GE(b.targets, static_cast<std::size_t>(slots));
         EXPECT_GE(3 * b.resp.connections, sockets - 3 * kOwnDescriptors);  // a third may be held for requests
@@ -201,4 +201,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/net_bed.hpp
+++ b/tests/net_fixture.hpp
@@ -23,7 +23,7 @@
 #include "app/forwarder.hpp"
 #include "platform.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -227,15 +227,16 @@
           {"pod_group", dest}, {"state", state},       {"capacity_hint", 1.0}, {"boot_ms", 0}};
 }
 
-// For a carrier without an engine: whatever is asked may leave.
-inline std::vector<bool> letLeave(const TargetId&, const std::vector<const Parcel*>& parcels) {
-  return std::vector<bool>(parcels.size(), true);
+// For a upstream without an engine: whatever is asked may leave.
+inline std::vector<bool> letLeave(const TargetId&, const std::vector<const UpstreamRequest*>& requests) {
+  return std::vector<bool>(requests.size(), true);
 }
 
 // One forwarder with one target of destination 7, classes safe, keyed and unsafe.
-class NetBed : public ::testing::Test {
+class NetFixture : public ::testing::Test {
  protected:
-  NetBed() : discovery(io), target(io, [](FakeServer::Link& link) { link.write(FakeServer::answer(200)); }) {
+  NetFixture()
+      : discovery(io), target(io, [](FakeServer::Link& link) { link.write(FakeServer::answer(200)); }) {
     config = {{"name", "n0"},
               {"listen", "127.0.0.1:0"},
               {"discovery", discovery.server.text()},
@@ -262,7 +263,7 @@
   bool until(const std::function<bool()>& holds) { return loops.until(holds); }
   std::size_t owed() { return Journal(folder.path(), 3'000'000).owed().size(); }
 
-  // The program itself, with the bed's configuration in a file, once it takes connections.
+  // The program itself, with the fixture's configuration in a file, once it takes connections.
   void startProgram() {
     tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
     const tcp::endpoint address = free.local_endpoint();
@@ -295,7 +296,7 @@
     if (program > 0 && ::waitpid(program, &status, WNOHANG) == program) program = 0;
     return program == 0;
   }
-  ~NetBed() override {
+  ~NetFixture() override {
     if (program <= 0 || programEnded()) return;
     ::kill(program, SIGKILL);
     ::waitpid(program, &status, 0);
@@ -319,4 +320,4 @@
   int status = -1;
 };
 
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -6,9 +6,9 @@
 #include <csignal>
 #include <fstream>
 
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
@@ -17,7 +17,7 @@
 
 // ---- Intake ----
 
-TEST_F(NetBed, DeliversAMessageAndSaysNothingMore) {
+TEST_F(NetFixture, DeliversAMessageAndSaysNothingMore) {
   start();
   client->write(FakeClient::command({"PING"}));
   EXPECT_EQ(client->line(), "+PONG");
@@ -35,7 +35,7 @@
 }
 
 // Requests that come in one piece are all answered, in their order.
-TEST_F(NetBed, AnswersAPipelineInOrder) {
+TEST_F(NetFixture, AnswersAPipelineInOrder) {
   start();
   client->write(FakeClient::command({"PING"}) +
                 FakeClient::command({"ENQUEUE", "0", "p1", "c=safe,d=8000,dest=7", "x"}) +
@@ -47,7 +47,7 @@
 }
 
 // What a client gets wrong costs it that request, not at once its connection, and nothing is taken on.
-TEST_F(NetBed, TellsWhatIsWrongWithARequest) {
+TEST_F(NetFixture, TellsWhatIsWrongWithARequest) {
   start();
   const std::vector<std::vector<std::string>> bad = {
       {"ENQUEUE", "0", "m", "c=other,d=8000,dest=7", "x"},
@@ -76,7 +76,7 @@
 
 // Where framing is lost the client hears why before the connection ends; a first line of a few bytes must not
 // make the reader take room for a thousand million words.
-TEST_F(NetBed, ClosesAfterAnAnswerWhereFramingIsLost) {
+TEST_F(NetFixture, ClosesAfterAnAnswerWhereFramingIsLost) {
   start();
   for (const char* bytes : {"GET / HTTP/1.1\r\n\r\n", "*1000000000\r\n", "*1\r\n$-7\r\n"}) {
     FakeClient other(loops, forwarder->address());
@@ -91,7 +91,7 @@
 
 // A request that never ends is cut off, however its bytes are spread over words: they must not fill the
 // memory.
-TEST_F(NetBed, BoundsARequestThatNeverEnds) {
+TEST_F(NetFixture, BoundsARequestThatNeverEnds) {
   start();
   const std::string word = "$20000\r\n" + std::string(20'000, 'x') + "\r\n";
   client->write("*60\r\n");
@@ -101,7 +101,7 @@
 }
 
 // A client that ends its sending after a request still hears what became of it.
-TEST_F(NetBed, AnswersAClientThatEndedItsSending) {
+TEST_F(NetFixture, AnswersAClientThatEndedItsSending) {
   start();
   client->enqueue("m1", "safe");
   client->finish();
@@ -109,7 +109,7 @@
 }
 
 // The client sends a request again when a close crossed it: it must not be taken on twice.
-TEST_F(NetBed, TakesARepeatedIdOnce) {
+TEST_F(NetFixture, TakesARepeatedIdOnce) {
   start();
   client->enqueue("m1", "unsafe");
   client->enqueue("m1", "unsafe");
@@ -124,7 +124,7 @@
   EXPECT_EQ(target.requests[1]["X-Request-Id"], "m2");
 }
 
-TEST_F(NetBed, RefusesWhatExceedsMaxOpen) {
+TEST_F(NetFixture, RefusesWhatExceedsMaxOpen) {
   config["settings"]["limits"]["maxOpen"] = 1;
   target.handler = [](Link&) {};
   start();
@@ -135,7 +135,7 @@
 }
 
 // More clients than places: the longest unused gives way, and everybody is served.
-TEST_F(NetBed, MakesRoomForMoreClientsThanItHasPlaces) {
+TEST_F(NetFixture, MakesRoomForMoreClientsThanItHasPlaces) {
   config["limits"]["sockets"] = 32;
   start();
   std::vector<std::unique_ptr<FakeClient>> many;
@@ -148,7 +148,7 @@
 }
 
 // Out of descriptors, accepting pauses and goes on.
-TEST_F(NetBed, AcceptSurvivesRunningOutOfDescriptors) {
+TEST_F(NetFixture, AcceptSurvivesRunningOutOfDescriptors) {
   start();
   FakeClient waiting(loops, forwarder->address());
   waiting.write(FakeClient::command({"PING"}));
@@ -173,7 +173,7 @@
 // ---- Calls ----
 
 // A message that a notice is owed for is out of the module's hands: it takes no place from new ones.
-TEST_F(NetBed, CountsWhatIsOnlyOwedANoticeOutOfMaxOpen) {
+TEST_F(NetFixture, CountsWhatIsOnlyOwedANoticeOutOfMaxOpen) {
   config["settings"]["limits"]["maxOpen"] = 1;
   discovery.refuse = 1'000'000;
   target.handler = [](Link& link) { link.reset(); };
@@ -187,7 +187,7 @@
 }
 
 // A told wait binds the whole destination, for any message.
-TEST_F(NetBed, HeedsAWaitThatItIsTold) {
+TEST_F(NetFixture, HeedsAWaitThatItIsTold) {
   bool first = true;
   std::chrono::steady_clock::time_point told, again;
   target.handler = [&](Link& link) {
@@ -204,7 +204,7 @@
 }
 
 // Answers are reused connections' work: a new one for each call costs points.
-TEST_F(NetBed, ReusesItsConnection) {
+TEST_F(NetFixture, ReusesItsConnection) {
   start();
   for (int i = 0; i < 4; ++i) {
     client->enqueue("m" + std::to_string(i), "safe");
@@ -215,7 +215,7 @@
 }
 
 // A pooled connection that the target closed is dropped unused, so the next call meets a live one at once.
-TEST_F(NetBed, DropsAStalePooledConnection) {
+TEST_F(NetFixture, DropsAStalePooledConnection) {
   start();
   client->enqueue("m1", "unsafe");
   ASSERT_TRUE(until([&] { return target.requests.size() == 1 && owed() == 0; }));
@@ -227,7 +227,7 @@
 }
 
 // Broken after its last byte, an unsafe call may have run: it ends, and is neither sent again nor refused.
-TEST_F(NetBed, GivesUpAnUnsafeMessageWhoseConnectionBroke) {
+TEST_F(NetFixture, GivesUpAnUnsafeMessageWhoseConnectionBroke) {
   target.handler = [](Link& link) { link.reset(); };
   start();
   client->enqueue("m1", "unsafe");
@@ -237,7 +237,7 @@
 }
 
 // Broken before its last byte, nothing can have run: the message goes again.
-TEST_F(NetBed, SendsAgainWhatNeverLeft) {
+TEST_F(NetFixture, SendsAgainWhatNeverLeft) {
   tcp::acceptor closed(io, {asio::ip::make_address("127.0.0.1"), 0});
   const std::string nobody = "127.0.0.1:" + std::to_string(closed.local_endpoint().port());
   closed.close();
@@ -251,7 +251,7 @@
 
 // Delivered is what a first line with 200 was written for, though its body breaks off or never comes: an
 // unsafe message must not be given up for it.
-TEST_F(NetBed, TakesTheFirstLineForTheAnswer) {
+TEST_F(NetFixture, TakesTheFirstLineForTheAnswer) {
   target.handler = [](Link& link) {
     link.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
     if (link.request["X-Request-Id"] == "breaks") link.close();
@@ -265,7 +265,7 @@
 }
 
 // A head that is no HTTP came after the last byte: the call may have run, and the service goes on.
-TEST_F(NetBed, TakesAMalformedAnswerForABrokenCall) {
+TEST_F(NetFixture, TakesAMalformedAnswerForABrokenCall) {
   target.handler = [](Link& link) { link.write("what?\r\n\r\n"); };
   start();
   client->enqueue("m1", "unsafe");
@@ -276,7 +276,7 @@
 }
 
 // 410: the message is over, and nothing is owed; no notice, no second call.
-TEST_F(NetBed, EndsSilentlyWhatIsGone) {
+TEST_F(NetFixture, EndsSilentlyWhatIsGone) {
   target.handler = [](Link& link) { link.write(FakeServer::answer(410)); };
   start();
   client->enqueue("m1", "safe");
@@ -285,7 +285,7 @@
 }
 
 // The time-out closes the connection, and the unsafe message is owed its notice by its deadline.
-TEST_F(NetBed, ClosesTheConnectionOfACallThatTimesOut) {
+TEST_F(NetFixture, ClosesTheConnectionOfACallThatTimesOut) {
   target.handler = [](Link&) {};
   start();
   client->enqueue("m1", "unsafe", 300);
@@ -294,7 +294,7 @@
 }
 
 // One call for several messages has an end for each: delivered, later, gone and two kinds of error.
-TEST_F(NetBed, ReadsEachEndOfABatch) {
+TEST_F(NetFixture, ReadsEachEndOfABatch) {
   std::map<std::string, int> seen;
   bool slow = true;
   target.handler = [&](Link& link) {
@@ -329,7 +329,7 @@
 // ---- Discovery ----
 
 // A target that is told to leave gets nothing new from the next round on.
-TEST_F(NetBed, SendsNothingToATargetThatLeaves) {
+TEST_F(NetFixture, SendsNothingToATargetThatLeaves) {
   FakeServer other(io, [](Link& link) { link.write(FakeServer::answer(200)); });
   config["known"]["targets"] = json::array({entry("t1", target.text()), entry("t2", other.text())});
   start();
@@ -350,7 +350,7 @@
 
 // Where nothing changed a keep-alive is all that comes: it answers the watch, or the module would ask anew
 // each second and load discovery for nothing.
-TEST_F(NetBed, TakesAKeepAliveForTheAnswerToItsWatch) {
+TEST_F(NetFixture, TakesAKeepAliveForTheAnswerToItsWatch) {
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
   discovery.chunk("");
@@ -360,7 +360,7 @@
 
 // A value that is no list drops the watch alone; the next one goes on from the last version that was read.
 // Half a value is none yet: lists may come over many lines.
-TEST_F(NetBed, WatchesAgainAfterABadLine) {
+TEST_F(NetFixture, WatchesAgainAfterABadLine) {
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
   discovery.chunk(json{{"rev", 50}, {"all", false}, {"targets", json::array()}}.dump());
@@ -372,7 +372,7 @@
 }
 
 // A notice that is not answered 204 goes again until it is, and only then leaves the journal.
-TEST_F(NetBed, RepeatsANoticeUntilItIsAcknowledged) {
+TEST_F(NetFixture, RepeatsANoticeUntilItIsAcknowledged) {
   discovery.refuse = 2;
   target.handler = [](Link& link) { link.reset(); };
   start();
@@ -387,7 +387,7 @@
 
 // Killed while calls are out, each class ends as it may: the safe and the keyed one go again (the keyed one
 // with the same key), the unsafe one may have run and is given up.
-TEST_F(NetBed, RecoversEachClassAfterAKill) {
+TEST_F(NetFixture, RecoversEachClassAfterAKill) {
   target.handler = [](Link&) {};
   FakeServer second(io, [](Link&) {}), third(io, [](Link&) {});
   config["known"]["targets"] =
@@ -415,7 +415,7 @@
 }
 
 // The key is remembered for so long from the first risky send: a restart does not start that time anew.
-TEST_F(NetBed, DoesNotResendAKeyedMessagePastItsTime) {
+TEST_F(NetFixture, DoesNotResendAKeyedMessagePastItsTime) {
   config["settings"]["classes"][1]["keyTtlUs"] = 200'000;
   target.handler = [](Link&) {};
   start();
@@ -429,7 +429,7 @@
 }
 
 // What ran out of time while the forwarder was down is told at once, and a notice without its 204 goes again.
-TEST_F(NetBed, TellsWhatRanOutWhileItWasDown) {
+TEST_F(NetFixture, TellsWhatRanOutWhileItWasDown) {
   {
     Journal journal(folder.path(), 3'000'000);
     Owed late;
@@ -453,7 +453,7 @@
 }
 
 // Attempts go on counting over a restart: a message that has had all of them is not called again.
-TEST_F(NetBed, CountsAttemptsOverARestart) {
+TEST_F(NetFixture, CountsAttemptsOverARestart) {
   {
     Journal journal(folder.path(), 3'000'000);
     Owed m;
@@ -477,7 +477,7 @@
 
 // SIGTERM: work goes on to be taken on, but no call starts that cannot end in time; its message waits on disk
 // for the next process, which delivers it though it must not take effect twice.
-TEST_F(NetBed, DrainsWithoutStartingWhatCannotEnd) {
+TEST_F(NetFixture, DrainsWithoutStartingWhatCannotEnd) {
   config["settings"]["familyInfo"]["kindBatch"] = {1};
   target.handler = [](Link&) {};
   start();
@@ -505,7 +505,7 @@
 
 // The program itself, on SIGTERM: lets a call end, goes on answering, and ends with status 0 before SIGKILL
 // comes.
-TEST_F(NetBed, TheProgramEndsInTimeOnSigterm) {
+TEST_F(NetFixture, TheProgramEndsInTimeOnSigterm) {
   startProgram();
   std::shared_ptr<Link> held;
   target.handler = [&](Link&) { held = target.links.back(); };
@@ -525,7 +525,7 @@
 }
 
 // What cannot be used ends the program with status 1 and one line.
-TEST_F(NetBed, TheProgramSaysWhatIsWrongWithItsConfiguration) {
+TEST_F(NetFixture, TheProgramSaysWhatIsWrongWithItsConfiguration) {
   const std::string path = folder.path() + "/config.json";
   std::ofstream(path) << "{\"name\":";
   const std::string command =
@@ -620,7 +620,7 @@
 }
 
 // No room in the journal: the client hears -BUSY, and what was taken on before is still delivered.
-TEST_F(NetBed, RefusesWhatItsJournalHasNoRoomFor) {
+TEST_F(NetFixture, RefusesWhatItsJournalHasNoRoomFor) {
   config["limits"]["disk_mb"] = 0.2;
   start();
   client->enqueue("big", "safe", 8'000, 7, std::string(60'000, 'x'));
@@ -631,7 +631,7 @@
 }
 
 // A write that fails means no +OK and no call; when writing works again, so does the service.
-TEST_F(NetBed, NeitherTakesOnNorSendsWhatItCannotWrite) {
+TEST_F(NetFixture, NeitherTakesOnNorSendsWhatItCannotWrite) {
   std::signal(SIGXFSZ, SIG_IGN);
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
@@ -653,7 +653,7 @@
 
 // ---- Configuration ----
 
-TEST_F(NetBed, ReadsItsConfiguration) {
+TEST_F(NetFixture, ReadsItsConfiguration) {
   config["unknown"] = 4;
   const Config c = parseConfig(config, "x");
   EXPECT_EQ(c.settings.slots, 8);
@@ -665,7 +665,7 @@
 }
 
 // What cannot be used is said in one plain line.
-TEST_F(NetBed, SaysWhatIsWrongWithItsConfiguration) {
+TEST_F(NetFixture, SaysWhatIsWrongWithItsConfiguration) {
   const std::vector<std::pair<std::string, json>> bad = {{"listen", "nowhere"},
                                                          {"settings", 3},
                                                          {"known", {{"rev", 1}}},
@@ -685,4 +685,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/openapi_test.cpp
+++ b/tests/openapi_test.cpp
@@ -1,17 +1,17 @@
-// Holds docs/openapi.yaml and the HTTP door together: what one of them says the other does.
+// Holds docs/openapi.yaml and the HTTP frontend together: what one of them says the other does.
 #include <yaml-cpp/yaml.h>
 
 #include <set>
 
-#include "doors/http/api.hpp"
-#include "http_bed.hpp"
+#include "frontend/http/api.hpp"
+#include "http_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Names = std::set<std::string>;
 
-class OpenApi : public HttpBed {
+class OpenApi : public HttpFixture {
  protected:
   OpenApi() : page(YAML::LoadFile(OPENAPI)) {}
   Names parameters(const std::string& path, const std::string& verb, const std::string& in) const {
@@ -139,4 +139,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/product_test.cpp
+++ b/tests/product_test.cpp
@@ -1,9 +1,9 @@
 // thistleyoke.toml: what it may say, and that each mistake is told with its place.
 #include <filesystem>
 
-#include "http_bed.hpp"
+#include "http_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 std::vector<std::string> errorsIn(const std::string& text) {
@@ -21,7 +21,7 @@
   EXPECT_FALSE(p.keep().any());
 }
 
-TEST(Product, ReadsTheHttpDoor) {
+TEST(Product, ReadsTheHttpFrontend) {
   const Product p = parseProduct(
       "[platform]\nconfig = \"c.json\"\nstate = \"s\"\n[doors.http]\nlisten = \"127.0.0.1:81\"\nconnections "
       "= 12\n"
@@ -40,20 +40,22 @@
 TEST(Product, ReadsTheFleet) {
   EXPECT_FALSE(parseProduct("", "f.toml").fleet);
   const Product p = parseProduct(
-      "[fleet]\nkeepers = \"1=127.0.0.1:7401\"\nname = \"n\"\nterm_ms = 900\ndrift = 0.05\nadopt = true\n"
-      "gone_after_ms = 5\nadopt_at_once = 3\n",
+      "[fleet]\ncoordinators = \"1=127.0.0.1:7401\"\nname = \"n\"\nterm_ms = 900\ndrift = 0.05\ntake_over = "
+      "true\n"
+      "gone_after_ms = 5\ntakeovers_at_once = 3\n",
       "f.toml");
   ASSERT_TRUE(p.fleet);
-  EXPECT_EQ(p.fleet->keepers, "1=127.0.0.1:7401");
+  EXPECT_EQ(p.fleet->coordinators, "1=127.0.0.1:7401");
   EXPECT_EQ(p.fleet->name, "n");
   EXPECT_EQ(p.fleet->termMs, 900);
   EXPECT_EQ(p.fleet->drift, 0.05);
-  EXPECT_TRUE(p.fleet->adopt);
+  EXPECT_TRUE(p.fleet->takeOver);
   EXPECT_EQ(p.fleet->goneAfterMs, 5);
-  EXPECT_EQ(p.fleet->adoptAtOnce, 3U);
-  const auto errors = errorsIn("[fleet]\nterm_ms = 1\nadopt = 1\ndrift = 2.0\n");
+  EXPECT_EQ(p.fleet->takeoversAtOnce, 3U);
+  const auto errors = errorsIn("[fleet]\nterm_ms = 1\ntake_over = 1\ndrift = 2.0\n");
   ASSERT_EQ(errors.size(), 4U);
-  EXPECT_EQ(errors[0], "f.toml:1: fleet.keepers: is missing: ID=ADDRESS:PORT of each keeper, with commas");
+  EXPECT_EQ(errors[0],
+            "f.toml:1: fleet.coordinators: is missing: ID=ADDRESS:PORT of each coordinator, with commas");
   EXPECT_EQ(errors[1], "f.toml:2: fleet.term_ms: is 1, not from 200 to 3600000");
 }
 
@@ -84,7 +86,7 @@
   EXPECT_EQ(errorsIn("doors = 3\n").front(), "f.toml:1: doors: is not a table");
 }
 
-TEST_F(HttpBed, ChecksWhatMustFitIntoThePlatformsLimits) {
+TEST_F(HttpFixture, ChecksWhatMustFitIntoThePlatformsLimits) {
   const Config platform = parseConfig(config, "x");
   EXPECT_NO_THROW(checkTogether(product, platform, "f.toml"));
   product.http->answers.most = 1'000'000;
@@ -96,14 +98,14 @@
   }
 }
 
-TEST_F(HttpBed, TheShippedFileCanBeUsed) {
+TEST_F(HttpFixture, TheShippedFileCanBeUsed) {
   const Product shipped = readProduct(SHIPPED_TOML);
   ASSERT_TRUE(shipped.http);
   EXPECT_NO_THROW(checkTogether(shipped, parseConfig(config, "x"), SHIPPED_TOML));
 }
 
-// The program, told of a file, opens the second door; `check` says what is wrong and changes nothing.
-TEST_F(HttpBed, TheProgramOpensTheDoorThatItsFileNames) {
+// The program, told of a file, opens the second frontend; `check` says what is wrong and changes nothing.
+TEST_F(HttpFixture, TheProgramOpensTheFrontendThatItsFileNames) {
   tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
   const tcp::endpoint address = free.local_endpoint();
   free.close();
@@ -128,4 +130,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/push_test.cpp
+++ b/tests/push_test.cpp
@@ -1,16 +1,16 @@
 // Deployments that push their lists and whose answers tell of limits: what the platform's settings switch on.
-#include "carriers/http/answer.hpp"
-#include "carriers/http/targets.hpp"
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
+#include "upstream/http/answer.hpp"
+#include "upstream/http/http_upstream_client.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
 
-class PushBed : public NetBed {
+class PushFixture : public NetFixture {
  protected:
-  PushBed() {
+  PushFixture() {
     config["settings"]["discovery"] = "pushed";
     config["settings"]["familyInfo"]["kindBatch"] = {1};
     config["settings"]["report"] = {{"source", "answers"}, {"columns", {"x0", "x1"}}};
@@ -22,7 +22,7 @@
 
 // The module never asks where lists are pushed; without a watch a forwarder would go on by the list of its
 // start, and send to targets that left long ago.
-TEST_F(PushBed, SendsNothingToATargetThatThePushedListTakesAway) {
+TEST_F(PushFixture, SendsNothingToATargetThatThePushedListTakesAway) {
   FakeServer other(io, [](Link& link) { link.write(FakeServer::answer(200)); });
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
@@ -38,7 +38,7 @@
 
 // What the agent holds counts as told, so a watch that breaks is opened again well within a drain's grace,
 // however often it breaks, and from the version that was read last.
-TEST_F(PushBed, OpensABrokenWatchAgainWithinADrainsGrace) {
+TEST_F(PushFixture, OpensABrokenWatchAgainWithinADrainsGrace) {
   std::vector<std::chrono::steady_clock::time_point> asked;
   discovery.server.handler = [&](Link& link) {
     asked.push_back(std::chrono::steady_clock::now());
@@ -58,7 +58,7 @@
 
 // The module hears of a lost watch only where it asked for one: a push that breaks off must not have it ask
 // too.
-TEST_F(PushBed, KeepsASingleWatch) {
+TEST_F(PushFixture, KeepsASingleWatch) {
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
   discovery.watches.back()->reset();
@@ -70,7 +70,7 @@
 }
 
 // The simulator's settings may allow several calls at once on a connection; on sockets each carries one.
-TEST_F(PushBed, CountsOneCallAConnection) {
+TEST_F(PushFixture, CountsOneCallAConnection) {
   config["settings"]["limits"]["streamsPerConn"] = 8;
   EXPECT_EQ(parseConfig(config, "x").settings.streamsPerConnection, 1);
 }
@@ -96,17 +96,17 @@
 
 // A report reaches the module with the outcome of its call, a refusal's too; where settings know of no
 // reports, or the answer is spoilt, there is none.
-TEST_F(PushBed, HandsAReportOnWithItsOutcome) {
+TEST_F(PushFixture, HandsAReportOnWithItsOutcome) {
   const std::string load = "X-Load: x0=0.5,x1=12.5\r\n";
   std::string answer = FakeServer::answer(200, "", load);
   target.handler = [&](Link& link) { link.write(answer); };
   std::vector<Outcome> outcomes;
   const auto ask = [&](const json& settings) {
     Config c = parseConfig(settings, folder.path());
-    Targets targets(
+    HttpUpstreamClient targets(
         *loops.own, c, 10, letLeave, [&](const Outcome& o) { outcomes.push_back(o); }, [](MessageId) {});
     targets.learn(c.known);
-    targets.call("t1", {Parcel{1, 0, "m1", "", "x", 2'000'000}});
+    targets.call("t1", {UpstreamRequest{1, 0, "m1", "", "x", 2'000'000}});
     const std::size_t before = outcomes.size();
     EXPECT_TRUE(until([&] { return outcomes.size() > before; }));
     return outcomes.back().report;
@@ -122,4 +122,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/crossings_test.cpp
+++ b/tests/race_conditions_test.cpp
@@ -2,12 +2,12 @@
 // turned, or by a peer that acts at a given byte.
 #include <sys/socket.h>
 
-#include "carriers/http/targets.hpp"
 #include "clock/alarm.hpp"
 #include "directory/values.hpp"
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
+#include "upstream/http/http_upstream_client.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
@@ -15,32 +15,32 @@
 
 // ---- Calls ----
 
-class Calls : public NetBed {
+class Calls : public NetFixture {
  protected:
   Calls() { make(); }
   void make() {
     Config c = parseConfig(config, folder.path());
-    targets = std::make_unique<Targets>(
+    targets = std::make_unique<HttpUpstreamClient>(
         *loops.own, c, 10,
-        [this](const TargetId&, const std::vector<const Parcel*>& parcels) {
+        [this](const TargetId&, const std::vector<const UpstreamRequest*>& requests) {
           std::vector<bool> may;
-          for (const Parcel* p : parcels) may.push_back(!kept.contains(p->id));
+          for (const UpstreamRequest* p : requests) may.push_back(!kept.contains(p->id));
           return may;
         },
         [this](const Outcome& o) { outcomes.push_back(o); }, [this](MessageId id) { late.push_back(id); });
     targets->learn(c.known);
   }
-  static Parcel parcel(MessageId handle, Micros timeout = 2'000'000) {
+  static UpstreamRequest request(MessageId handle, Micros timeout = 2'000'000) {
     return {handle, 0, "m" + std::to_string(handle), "", "body", timeout};
   }
   // A first call that leaves its connection idle: the next one's request is with the kernel when call()
   // returns.
   void warm() {
-    targets->call("t1", {parcel(1)});
+    targets->call("t1", {request(1)});
     ASSERT_TRUE(until([&] { return outcomes.size() == 1 && targets->idle("t1") == 1; }));
     outcomes.clear();
   }
-  // Turns the target's loop alone: what the carrier is to hear stands in its socket.
+  // Turns the target's loop alone: what the upstream is to hear stands in its socket.
   bool meanwhile(const std::function<bool()>& holds) {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     while (!holds() && std::chrono::steady_clock::now() < end) {
@@ -50,7 +50,7 @@
     return holds();
   }
   std::set<std::string> kept;  // ids that may not leave
-  std::unique_ptr<Targets> targets;
+  std::unique_ptr<HttpUpstreamClient> targets;
   std::vector<Outcome> outcomes;
   std::vector<MessageId> late;
 };
@@ -60,7 +60,7 @@
 TEST_F(Calls, CalledOffRightAfterItsLastByteMayHaveRun) {
   warm();
   target.handler = [](Link&) {};
-  targets->call("t1", {parcel(2)});
+  targets->call("t1", {request(2)});
   targets->callOff(2, 0);
   ASSERT_EQ(outcomes.size(), 1U);
   EXPECT_EQ(outcomes[0].ending, Ending::canceled);
@@ -71,7 +71,7 @@
 TEST_F(Calls, TimedOutRightAfterItsLastByteMayHaveRun) {
   warm();
   target.handler = [](Link&) {};
-  targets->call("t1", {parcel(2, 1)});
+  targets->call("t1", {request(2, 1)});
   std::this_thread::sleep_for(milliseconds(2));
   ASSERT_TRUE(until([&] { return outcomes.size() == 1; }));
   EXPECT_EQ(outcomes[0].ending, Ending::timedOut);
@@ -80,12 +80,12 @@
 // An answer that stands unread in the socket as its call is called off, or times out, is the call's end.
 TEST_F(Calls, AnAnswerThatHasComeGoesBeforeACallOffAndATimeOut) {
   warm();
-  targets->call("t1", {parcel(2)});
+  targets->call("t1", {request(2)});
   ASSERT_TRUE(meanwhile([&] { return target.requests.size() == 2; }));
   targets->callOff(2, 0);
   ASSERT_EQ(outcomes.size(), 1U);
   EXPECT_EQ(outcomes[0].ending, Ending::done);
-  targets->call("t1", {parcel(3, 1'000)});
+  targets->call("t1", {request(3, 1'000)});
   ASSERT_TRUE(meanwhile([&] { return target.requests.size() == 3; }));
   std::this_thread::sleep_for(milliseconds(2));
   ASSERT_TRUE(until([&] { return outcomes.size() == 2; }));
@@ -94,7 +94,7 @@
 
 // A message that ended while the connection of its call was coming up is not sent with the others.
 TEST_F(Calls, WhatEndedBeforeTheConnectionCameUpStaysBehind) {
-  targets->call("t1", {parcel(1), parcel(2), parcel(3)});
+  targets->call("t1", {request(1), request(2), request(3)});
   targets->callOff(2, 0);
   ASSERT_EQ(outcomes.size(), 1U);
   EXPECT_EQ(outcomes[0].ending, Ending::connectFailed);
@@ -109,11 +109,11 @@
 // What may no longer leave when its connection is up never ran, and the connection serves the next call.
 TEST_F(Calls, WhatMayNoLongerLeaveNeverRanAndLeavesItsConnection) {
   kept = {"m1"};
-  targets->call("t1", {parcel(1)});
+  targets->call("t1", {request(1)});
   ASSERT_TRUE(until([&] { return outcomes.size() == 1; }));
   EXPECT_EQ(outcomes[0].ending, Ending::skipped);
   EXPECT_EQ(targets->idle("t1"), 1U);
-  targets->call("t1", {parcel(2)});
+  targets->call("t1", {request(2)});
   ASSERT_TRUE(until([&] { return outcomes.size() == 2; }));
   EXPECT_EQ(target.links.size(), 1U);
   ASSERT_EQ(target.requests.size(), 1U);
@@ -124,7 +124,8 @@
 // of the one that stands first, so that one is waited for longest.
 TEST_F(Calls, WhoIsWaitedForLongestStandsFirstInItsCall) {
   target.handler = [](Link&) {};
-  targets->call("t1", {parcel(1, 50'000), parcel(2, 2'000'000), parcel(3, 100'000), parcel(4, 2'000'000)});
+  targets->call("t1",
+                {request(1, 50'000), request(2, 2'000'000), request(3, 100'000), request(4, 2'000'000)});
   ASSERT_TRUE(until([&] { return outcomes.size() == 2; }));
   EXPECT_EQ(outcomes[0].id, 1U);
   EXPECT_EQ(outcomes[1].id, 3U);
@@ -148,8 +149,9 @@
   config["settings"]["limits"]["secondCopies"] = false;
   make();
   target.handler = [](Link&) {};
-  std::vector<Parcel> those = {parcel(1, 50'000), parcel(2, 100'000), parcel(3, 400'000), parcel(4, 400'000)};
-  for (Parcel& p : those) p.left = 5'000'000;
+  std::vector<UpstreamRequest> those = {request(1, 50'000), request(2, 100'000), request(3, 400'000),
+                                        request(4, 400'000)};
+  for (UpstreamRequest& p : those) p.left = 5'000'000;
   those[1].left = 100'000;
   targets->call("t1", those);
   ASSERT_TRUE(until([&] { return target.requests.size() == 1; }));
@@ -165,7 +167,7 @@
 }
 
 // There, too, what is waited for to its end does not travel with what would go again before.
-TEST_F(NetBed, UnsafeOnesTravelApartWhereNoSecondCopyIsAllowed) {
+TEST_F(NetFixture, UnsafeOnesTravelApartWhereNoSecondCopyIsAllowed) {
   config["settings"]["limits"]["secondCopies"] = false;
   config["known"]["targets"] = json::array({entry("t1", target.text(), "leaving")});
   target.handler = [](Link& link) {
@@ -208,7 +210,7 @@
        {"all", false},
        {"targets", {entry("t2", "127.0.0.1:" + std::to_string(deaf.local_endpoint().port()))}}},
       {{}, {"large"}, {"levis"}}));
-  Parcel large = parcel(1), other = parcel(2);
+  UpstreamRequest large = request(1), other = request(2);
   large.body = other.body = std::string(16 << 20, 'x');  // more than both kernels' buffers take
   targets->call("t2", {large, other});
   loops.until([] { return false; }, milliseconds(100));
@@ -268,7 +270,7 @@
 };
 
 // Killed while its connection was coming up, an unsafe message was never tried: its successor tries it.
-TEST_F(NetBed, AMessageKilledOnItsWayToAConnectionIsStillTried) {
+TEST_F(NetFixture, AMessageKilledOnItsWayToAConnectionIsStillTried) {
   LateTarget slow(io);
   config["known"]["targets"] = json::array({entry("t1", slow.text())});
   start();
@@ -285,7 +287,7 @@
 
 // A wait that is told while another call's connection comes up holds that call, too: its connection stays,
 // and nothing goes out before the wait is over.
-TEST_F(NetBed, AWaitToldMeanwhileHoldsACallWhoseConnectionComesUpLate) {
+TEST_F(NetFixture, AWaitToldMeanwhileHoldsACallWhoseConnectionComesUpLate) {
   LateTarget slow(io);
   config["known"]["targets"] = json::array({entry("t1", target.text()), entry("t2", slow.text())});
   config["settings"]["familyInfo"]["kindBatch"] = {1};
@@ -368,7 +370,7 @@
 }
 
 // An indented list is a list, and the watch goes on behind it.
-TEST_F(NetBed, ReadsAnIndentedList) {
+TEST_F(NetFixture, ReadsAnIndentedList) {
   FakeServer other(io, [](Link& link) { link.write(FakeServer::answer(200)); });
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
@@ -385,7 +387,7 @@
 
 // How long a watch that falls silent, and the one behind it, may hide a change: under the 6 s after which it
 // binds. Here after half a list, and the new watch is silent from its first byte.
-TEST_F(NetBed, FindsASilentWatchAndASilentOneBehindItWithinTheClock) {
+TEST_F(NetFixture, FindsASilentWatchAndASilentOneBehindItWithinTheClock) {
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
   discovery.chunk("");
@@ -405,7 +407,7 @@
 
 // A kept connection that has fallen silent as a post is written, and one that is closed then: the notice is
 // there within the 300 ms after which it is overdue.
-TEST_F(NetBed, ANoticeIsToldInTimeThoughItsConnectionFellSilentOrCloses) {
+TEST_F(NetFixture, ANoticeIsToldInTimeThoughItsConnectionFellSilentOrCloses) {
   target.handler = [](Link& link) { link.reset(); };
   start();
   client->enqueue("m1", "unsafe");
@@ -432,7 +434,7 @@
 
 // A thousand that were taken on and never tried, a list that comes late, a target with a low limit: all that
 // can still be in time are tried, counted by the target itself.
-TEST_F(NetBed, AThousandFoundUntriedAreStillTried) {
+TEST_F(NetFixture, AThousandFoundUntriedAreStillTried) {
   constexpr int kAll = 1'000, kEachSecond = 400;
   config["known"]["targets"] = json::array({entry("t1", target.text(), "leaving")});  // takes nothing new
   config["settings"]["limits"]["maxOpen"] = kAll + 100;
@@ -471,7 +473,7 @@
 // ---- Settings ----
 
 // What the settings do not name gets the most careful treatment: one message a call, and no other's zone.
-TEST_F(NetBed, AnUnlistedKindTakesOneMessageACall) {
+TEST_F(NetFixture, AnUnlistedKindTakesOneMessageACall) {
   json stranger = entry("t1", target.text());
   stranger["model"] = "of-another-customer";
   stranger["az"] = "nowhere";
@@ -493,7 +495,7 @@
 
 // A whole request that stands in the socket as its connection is given up for rest or silence is taken, not
 // reset.
-TEST_F(NetBed, ARequestThatHasComeIsTakenAsItsConnectionIsGivenUp) {
+TEST_F(NetFixture, ARequestThatHasComeIsTakenAsItsConnectionIsGivenUp) {
   start();
   const std::string request = FakeClient::command({"ENQUEUE", "0", "late", "c=safe,d=8000,dest=7", "hello"});
   for (const std::size_t before : {std::size_t(0), std::size_t(7)}) {
@@ -509,7 +511,7 @@
 
 // At the end of a drain: connected and not accepted, whole requests in several pieces, an answer not yet
 // read. Each has its answer whole, and the process ends by itself.
-TEST_F(NetBed, EveryRequestOfADrainsLastInstantHasItsAnswer) {
+TEST_F(NetFixture, EveryRequestOfADrainsLastInstantHasItsAnswer) {
   start();
   const std::string big(60'000, 'x');
   for (int i = 0; i < 3; ++i)
@@ -525,4 +527,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -1,14 +1,14 @@
 // A configuration that is replaced while the forwarder serves: SIGHUP, and discovery at another address.
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
 
 // The old address is told nothing more and asked nothing more; the new one is watched at once, for all that
 // it lists, since its versions may be lower than the old one's, and without the old one's backoff.
-TEST_F(NetBed, MovesItsWatchToTheNewDiscovery) {
+TEST_F(NetFixture, MovesItsWatchToTheNewDiscovery) {
   FakeDiscovery next(io);
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
@@ -32,7 +32,7 @@
 
 // In the middle of a start: what the folder held goes on, the new address is asked when this forwarder's turn
 // among three hundred comes, and the old one never.
-TEST_F(NetBed, MovesDiscoveryInTheMiddleOfAStart) {
+TEST_F(NetFixture, MovesDiscoveryInTheMiddleOfAStart) {
   FakeDiscovery next(io);
   config["settings"]["fleetSize"] = 300;
   config["settings"]["rules"]["askWithinUs"] = 1'000'000;  // the first ask comes within 0.8 s
@@ -52,7 +52,7 @@
 
 // A discovery that is gone when its successor is named had failures counted: they delay nothing at the new
 // one.
-TEST_F(NetBed, WatchesTheNewDiscoveryWithoutTheOldOnesBackoff) {
+TEST_F(NetFixture, WatchesTheNewDiscoveryWithoutTheOldOnesBackoff) {
   FakeDiscovery next(io);
   discovery.server.handler = [](Link& link) { link.reset(); };
   config["settings"]["rules"]["askWithinUs"] = 100'000;
@@ -63,7 +63,7 @@
 }
 
 // A notice that the old address has not answered goes again to the new one, without waiting for a time-out.
-TEST_F(NetBed, TellsItsNoticesToTheNewDiscovery) {
+TEST_F(NetFixture, TellsItsNoticesToTheNewDiscovery) {
   FakeDiscovery next(io);
   std::size_t posts = 0;
   discovery.server.handler = [&](Link& link) {
@@ -85,7 +85,7 @@
 
 // SIGHUP is no end: the program rereads its file, takes over where discovery is, and goes on serving; a file
 // that cannot be used changes nothing. It holds while the program drains, too.
-TEST_F(NetBed, TheProgramTakesOverDiscoveryOnSighup) {
+TEST_F(NetFixture, TheProgramTakesOverDiscoveryOnSighup) {
   FakeDiscovery next(io), last(io);
   startProgram();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
@@ -112,4 +112,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/reports_test.cpp
+++ b/tests/reports_test.cpp
@@ -1,33 +1,33 @@
 // What load reports change: a destination that tells no limit refuses for a full queue, not for a rate.
 #include <gtest/gtest.h>
 
-#include "bed.hpp"
+#include "sender_fixture.hpp"
 
 namespace quilltide {
 namespace {
 
-using testbed::Bed;
+using fixtures::SenderFixture;
 
 const Report kNoLimit{{"x0", 0}, {"x1", 0}}, kLimited{{"x0", 0.2}, {"x1", 4}};
 
 // Calls of 100 ms, with as many messages waiting as may leave; a refusal at the start.
 std::size_t servedAfterARefusal(const Report& report) {
-  Settings s = Bed::plain();
+  Settings s = SenderFixture::plain();
   s.weights = Weights::nominal;
   s.reports = ReportSource::answers;
-  Bed bed(s);
-  bed.list({"a"});
-  for (int i = 0; i < 90; ++i) bed.arrive();
+  SenderFixture fixture(s);
+  fixture.list({"a"});
+  for (int i = 0; i < 90; ++i) fixture.arrive();
   const auto finishAll = [&] {
-    bed.step(100'000);
-    for (std::size_t n = bed.out(); n > 0; --n) bed.finish(Ending::done, 0, report);
+    fixture.step(100'000);
+    for (std::size_t n = fixture.out(); n > 0; --n) fixture.finish(Ending::done, 0, report);
   };
   for (int i = 0; i < 6; ++i) finishAll();
-  bed.step(100'000);
-  bed.finish(Ending::busy, 0, report);
-  const std::size_t before = bed.ended();
+  fixture.step(100'000);
+  fixture.finish(Ending::busy, 0, report);
+  const std::size_t before = fixture.ended();
   for (int i = 0; i < 30; ++i) finishAll();
-  return bed.ended() - before;
+  return fixture.ended() - before;
 }
 
 // Three seconds after one full queue nothing but the tickets binds: a pace would have let 4 calls a second
@@ -40,23 +40,23 @@
 // Of a destination without a limit only the endpoint that refused rests; the other takes the message at once.
 TEST(Reports, OnlyTheEndpointWhoseQueueWasFullRests) {
   for (const bool limited : {false, true}) {
-    Settings s = Bed::plain();
+    Settings s = SenderFixture::plain();
     s.weights = Weights::nominal;
     s.reports = ReportSource::answers;
-    Bed bed(s);
-    bed.list({"a", "b"});
+    SenderFixture fixture(s);
+    fixture.list({"a", "b"});
     for (int i = 0; i < 4; ++i) {
-      bed.arrive();
-      bed.step(100'000);
-      bed.finish(Ending::done, 0, limited ? kLimited : kNoLimit);
+      fixture.arrive();
+      fixture.step(100'000);
+      fixture.finish(Ending::done, 0, limited ? kLimited : kNoLimit);
     }
-    bed.arrive();
-    const TargetId full = bed.oldest().target;
-    bed.finish(Ending::busy, 0, limited ? kLimited : kNoLimit);
-    bed.step(5000);
-    ASSERT_EQ(bed.out(), limited ? 0U : 1U);
+    fixture.arrive();
+    const TargetId full = fixture.oldest().target;
+    fixture.finish(Ending::busy, 0, limited ? kLimited : kNoLimit);
+    fixture.step(5000);
+    ASSERT_EQ(fixture.out(), limited ? 0U : 1U);
     if (!limited) {
-      EXPECT_NE(bed.oldest().target, full);
+      EXPECT_NE(fixture.oldest().target, full);
     }
   }
 }
@@ -64,44 +64,44 @@
 // Full queues one after another leave the tickets at one and not at none, and end in trials where nothing but
 // refusals comes: shut looks the same with and without a limit.
 TEST(Reports, RefusalsAloneMeanShutWithoutALimitToo) {
-  Settings s = Bed::plain();
+  Settings s = SenderFixture::plain();
   s.reports = ReportSource::answers;
-  Bed bed(s);
-  bed.list({"a"});
-  for (int i = 0; i < 40; ++i) bed.arrive();
-  bed.finish(Ending::done, 0, kNoLimit);
+  SenderFixture fixture(s);
+  fixture.list({"a"});
+  for (int i = 0; i < 40; ++i) fixture.arrive();
+  fixture.finish(Ending::done, 0, kNoLimit);
   std::size_t early = 0;
   for (int i = 0; i < 500; ++i) {
-    if (bed.out() > 0) bed.finish(Ending::busy, 0, kNoLimit);
-    bed.step(20'000);
-    if (i == 249) early = bed.calls();
+    if (fixture.out() > 0) fixture.finish(Ending::busy, 0, kNoLimit);
+    fixture.step(20'000);
+    if (i == 249) early = fixture.calls();
   }
-  EXPECT_GE(bed.calls(), early + 1);
-  EXPECT_LE(bed.calls(), early + 4);
+  EXPECT_GE(fixture.calls(), early + 1);
+  EXPECT_LE(fixture.calls(), early + 4);
 }
 
 // A call of a destination that answers within a millisecond is not overdue after a few: the machine was busy.
 TEST(Overdue, NoneBeforeATenthOfAnAim) {
-  Bed bed(Bed::plain());
-  bed.list({"a"});
+  SenderFixture fixture(SenderFixture::plain());
+  fixture.list({"a"});
   for (int i = 0; i < 12; ++i) {
-    bed.arrive();
-    bed.step(1000);
-    bed.finish(Ending::done);
+    fixture.arrive();
+    fixture.step(1000);
+    fixture.finish(Ending::done);
   }
   std::size_t opened = 0;
   const auto wait = [&](int ms) {
     for (int i = 0; i < ms; i += 10) {
-      bed.step(10'000);
+      fixture.step(10'000);
       opened += static_cast<std::size_t>(
-          std::count_if(bed.actions().begin(), bed.actions().end(), [](const Action& a) {
+          std::count_if(fixture.actions().begin(), fixture.actions().end(), [](const Action& a) {
             return std::holds_alternative<Log>(a) && std::get<Log>(a).text == "open a";
           }));
     }
   };
-  bed.arrive();
-  bed.arrive();
-  ASSERT_EQ(bed.out(), 2U);
+  fixture.arrive();
+  fixture.arrive();
+  ASSERT_EQ(fixture.out(), 2U);
   wait(240);
   EXPECT_EQ(opened, 0U);
   wait(60);
@@ -113,14 +113,14 @@
 TEST(Breaker, LooksInMoreOftenWhereConnectionsAreRefused) {
   std::size_t trials[2] = {0, 0};
   for (const bool refusedConnect : {false, true}) {
-    Bed bed(Bed::plain());
-    bed.list({"a"});
-    for (int i = 0; i < 40; ++i) bed.arrive();
+    SenderFixture fixture(SenderFixture::plain());
+    fixture.list({"a"});
+    for (int i = 0; i < 40; ++i) fixture.arrive();
     for (int i = 0; i < 700; ++i) {
-      if (bed.out() > 0) bed.finish(refusedConnect ? Ending::connectFailed : Ending::error);
-      bed.step(20'000);
+      if (fixture.out() > 0) fixture.finish(refusedConnect ? Ending::connectFailed : Ending::error);
+      fixture.step(20'000);
     }
-    trials[refusedConnect] = bed.calls();
+    trials[refusedConnect] = fixture.calls();
   }
   EXPECT_GE(trials[true], trials[false] * 3 / 2);
   EXPECT_LE(trials[true], trials[false] * 5 / 2);
--- a/tests/growth_test.cpp
+++ b/tests/resource_limits_test.cpp
@@ -2,9 +2,9 @@
 #include <sys/resource.h>
 
 #include "config/budget.hpp"
-#include "net_bed.hpp"
+#include "net_fixture.hpp"
 
-namespace quilltide::net::testbed {
+namespace quilltide::net::fixtures {
 namespace {
 
 using Link = FakeServer::Link;
@@ -14,26 +14,26 @@
   return parseDirectory({{"rev", 1}, {"all", all}, {"targets", targets}}, {{}, {"large"}, {"levis"}});
 }
 
-struct TargetsBed : NetBed {
-  TargetsBed() {
-    targets = std::make_unique<Targets>(
+struct UpstreamFixture : NetFixture {
+  UpstreamFixture() {
+    targets = std::make_unique<HttpUpstreamClient>(
         *loops.own, parseConfig(config, "x"), budgetOf(parseConfig(config, "x")).targets, letLeave,
         [this](const Outcome& o) { outcomes.push_back(o); }, [](MessageId) {});
   }
   void call(const TargetId& to) {
-    Parcel p;
+    UpstreamRequest p;
     p.handle = 1;
     p.id = "m";
     p.timeout = 1'000'000;
     targets->call(to, {p});
   }
-  std::unique_ptr<Targets> targets;
+  std::unique_ptr<HttpUpstreamClient> targets;
   std::vector<Outcome> outcomes;
 };
 
-// Targets come under new ids, at addresses of ones that have gone: who is gone takes its pool and its idle
-// connections with it, and the new one is called on a connection of its own.
-TEST_F(TargetsBed, ForgetsWhoIsGone) {
+// HttpUpstreamClient come under new ids, at addresses of ones that have gone: who is gone takes its pool and
+// its idle connections with it, and the new one is called on a connection of its own.
+TEST_F(UpstreamFixture, ForgetsWhoIsGone) {
   for (int i = 0; i < 200; ++i) {
     const std::string id = "t" + std::to_string(i);
     targets->learn(change(json::array({entry(id, target.text())})));
@@ -49,7 +49,7 @@
 }
 
 // A whole list names all there are; a call that is out at one that has gone still ends, and keeps nothing.
-TEST_F(TargetsBed, AWholeListForgetsWhomItDoesNotName) {
+TEST_F(UpstreamFixture, AWholeListForgetsWhomItDoesNotName) {
   std::shared_ptr<Link> held;
   target.handler = [&](Link&) { held = target.links.back(); };
   targets->learn(change(json::array({entry("t1", target.text()), entry("t2", target.text())})));
@@ -64,7 +64,7 @@
 }
 
 // An idle connection that the target closes leaves nothing behind.
-TEST_F(TargetsBed, KeepsNoPoolOfConnectionsThatEnded) {
+TEST_F(UpstreamFixture, KeepsNoPoolOfConnectionsThatEnded) {
   targets->learn(change(json::array({entry("t1", target.text())})));
   call("t1");
   ASSERT_TRUE(until([&] { return targets->idle("t1") == 1; }));
@@ -74,10 +74,10 @@
 }
 
 // More targets than places for connections: the longest unused idle one makes room.
-TEST_F(TargetsBed, MakesRoomAmongItsIdleConnections) {
+TEST_F(UpstreamFixture, MakesRoomAmongItsIdleConnections) {
   config["limits"]["sockets"] = 40;
   const std::size_t most = budgetOf(parseConfig(config, "x")).targets;
-  targets = std::make_unique<Targets>(
+  targets = std::make_unique<HttpUpstreamClient>(
       *loops.own, parseConfig(config, "x"), budgetOf(parseConfig(config, "x")).targets, letLeave,
       [this](const Outcome& o) { outcomes.push_back(o); }, [](MessageId) {});
   for (std::size_t i = 0; i < 3 * most; ++i) {
@@ -94,7 +94,7 @@
 
 // A limit or a full queue keeps the connection; who has no place for another one ends it, and only a new one
 // can be one too many.
-TEST_F(TargetsBed, TellsAFullTableFromALimit) {
+TEST_F(UpstreamFixture, TellsAFullTableFromALimit) {
   targets->learn(change(json::array({entry("t1", target.text())})));
   std::string answer;
   target.handler = [&](Link& link) { link.write(answer); };
@@ -117,7 +117,7 @@
 }
 
 // Out of descriptors a call was not sent: that says nothing of the target, and must not count against it.
-TEST_F(TargetsBed, DoesNotBlameATargetForItsOwnDescriptors) {
+TEST_F(UpstreamFixture, DoesNotBlameATargetForItsOwnDescriptors) {
   targets->learn(change(json::array({entry("t0", target.text()), entry("t1", target.text())})));
   call("t0");  // the loop has its own descriptors from now on
   ASSERT_TRUE(until([&] { return outcomes.size() == 1; }));
@@ -139,7 +139,7 @@
 
 // Between the last target of a destination and its next one messages are taken on, and delivered when it is
 // there.
-TEST_F(NetBed, HoldsMessagesForADestinationBetweenTwoTargets) {
+TEST_F(NetFixture, HoldsMessagesForADestinationBetweenTwoTargets) {
   start();
   ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
   discovery.chunk(
@@ -154,4 +154,4 @@
 }
 
 }  // namespace
-}  // namespace quilltide::net::testbed
+}  // namespace quilltide::net::fixtures
--- a/tests/bed.hpp
+++ b/tests/sender_fixture.hpp
@@ -8,9 +8,9 @@
 
 #include "quilltide/sender.hpp"
 
-namespace quilltide::testbed {
+namespace quilltide::fixtures {
 
-class Bed {
+class SenderFixture {
  public:
   static Settings plain() {
     Settings s;
@@ -40,7 +40,7 @@
     Micros sent;
   };
 
-  explicit Bed(const Settings& s) : settings_(s), sender_(s, 7) {}
+  explicit SenderFixture(const Settings& s) : settings_(s), sender_(s, 7) {}
 
   void list(const std::vector<TargetId>& targets, Listing listing = Listing::inService) {
     DirectoryView view;
@@ -133,4 +133,4 @@
   std::vector<Action> actions_;
 };
 
-}  // namespace quilltide::testbed
+}  // namespace quilltide::fixtures
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -7,7 +7,7 @@
 #include <random>
 #include <set>
 
-#include "bed.hpp"
+#include "sender_fixture.hpp"
 
 namespace quilltide {
 namespace {
@@ -64,7 +64,7 @@
 
  private:
   Settings make() {
-    Settings s = testbed::Bed::plain();
+    Settings s = fixtures::SenderFixture::plain();
     s.slots = 1 + static_cast<int>(rng_() % 9);
     s.maxOpen = 1 + static_cast<int>(rng_() % 80);
     s.maxAttempts = 1 + static_cast<int>(rng_() % 8);
--- a/tests/adoption_test.cpp
+++ b/tests/takeover_test.cpp
@@ -1,6 +1,6 @@
-// Who has a folder: every order in which an owner's and its adopters' steps may fall, with the journal that
+// Who has a folder: every order in which an owner's and its successors' steps may fall, with the journal that
 // is shipped.
-#include "fleet/adoption/adoption.hpp"
+#include "fleet/takeover/takeover.hpp"
 
 #include <gtest/gtest.h>
 #include <sys/stat.h>
@@ -45,19 +45,19 @@
   std::shared_ptr<std::function<void()>> stop = std::make_shared<std::function<void()>>();
 };
 
-// What an adopter does with an unsafe message: called again only if no attempt of it may have run.
+// What an successor does with an unsafe message: called again only if no attempt of it may have run.
 bool callsAgain(Journal& journal, const std::string& id) {
   const Owed* m = journal.find(id);
   if (m == nullptr) return false;
   return std::all_of(m->attempts.begin(), m->attempts.end(), [](const auto& a) { return a.second.neverRan; });
 }
 
-// Owner: takes a message on (W1 C1, then +OK), writes an attempt (W2), looks (C2), calls. Adopters' steps are
-// put in at each of the owner's points, in every order, and each adopter may die after any of its own.
+// Owner: takes a message on (W1 C1, then +OK), writes an attempt (W2), looks (C2), calls. Successors' steps
+// are put in at each of the owner's points, in every order, and each successor may die after any of its own.
 enum Point { beforeW1, betweenW1C1, beforeW2, betweenW2C2, beforeCall, afterCall, kPoints };
 
 struct Case {
-  Point mark, read;  // where the first adopter adds its mark, and reads
+  Point mark, read;  // where the first successor adds its mark, and reads
   bool firstDies;    // after its mark, without reading
   Point secondMark, secondRead;
   bool compacts;  // the owner's second write replaces its file instead of adding to it
@@ -78,7 +78,7 @@
   std::unique_ptr<Ownership> firstMark, secondMark;
   std::unique_ptr<Journal> first, second;
   bool firstFenced = false;
-  const auto adopters = [&](Point at) {
+  const auto successors = [&](Point at) {
     // The owner may be stopped at one point for as long as all of this takes.
     if (at == c.mark) {
       firstMark = std::make_unique<Ownership>(folder.path, 2);
@@ -100,34 +100,34 @@
       second =
           std::make_unique<Journal>(folder.path, disk, Keep{}, std::make_unique<Ownership>(folder.path, 3));
   };
-  adopters(beforeW1);
+  successors(beforeW1);
   owner.accept(message("m", std::string(c.compacts ? 5'000 : 10, 'x')));
-  *stop = [&] { adopters(betweenW1C1); };
+  *stop = [&] { successors(betweenW1C1); };
   const bool taken = owner.commit();
   *stop = nullptr;
   int calls = 0;
-  adopters(beforeW2);
+  successors(beforeW2);
   if (taken) {
     const auto before = inode();
     Owed& m = *owner.find("m");
     owner.attempt(m, 0, "t", 5);
-    *stop = [&] { adopters(betweenW2C2); };
+    *stop = [&] { successors(betweenW2C2); };
     const bool may = owner.commit();
     *stop = nullptr;
     if (c.mark >= beforeCall) {  // else its file may be gone already
       EXPECT_EQ(inode() != before, c.compacts);
     }
-    adopters(beforeCall);
+    successors(beforeCall);
     if (may) ++calls;
   } else {
-    adopters(betweenW2C2);
-    adopters(beforeCall);
+    successors(betweenW2C2);
+    successors(beforeCall);
   }
-  adopters(afterCall);
-  // The last adopter ends it. A first one that had read before the second came may have called too: then it
+  successors(afterCall);
+  // The last successor ends it. A first one that had read before the second came may have called too: then it
   // wrote so before, and the second one knows.
   if (first && !firstFenced && !second->find("m")) {
-    EXPECT_TRUE(!taken) << "lost between two adopters";
+    EXPECT_TRUE(!taken) << "lost between two successors";
   }
   if (callsAgain(*second, "m")) ++calls;
   EXPECT_LE(calls, 1) << "twice: mark " << c.mark << " read " << c.read << " dies " << c.firstDies
@@ -149,7 +149,7 @@
   EXPECT_EQ(second->find("late"), nullptr);
 }
 
-TEST(Adoption, InEveryOrderOfStepsAMessageIsCalledOnceAtMostAndNeverLost) {
+TEST(Takeover, InEveryOrderOfStepsAMessageIsCalledOnceAtMostAndNeverLost) {
   std::size_t cases = 0;
   for (int mark = 0; mark < kPoints; ++mark)
     for (int read = mark; read < kPoints; ++read)
@@ -166,19 +166,19 @@
 
 // The protocol the other way round: the owner looks first and writes then. It has to fail, or the test above
 // sees nothing.
-TEST(Adoption, LookingBeforeWritingWouldCallTwice) {
+TEST(Takeover, LookingBeforeWritingWouldCallTwice) {
   TempFolder folder;
   Journal owner(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 1));
   owner.accept(message("m"));
   ASSERT_TRUE(owner.commit());
   const bool may = Ownership(folder.path, 1).mine();  // looks
-  Journal adopter(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 2));
+  Journal successor(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 2));
   owner.attempt(*owner.find("m"), 0, "t", 5);
   static_cast<void>(owner.commit());  // writes, and calls by what it saw before
-  EXPECT_EQ((may ? 1 : 0) + (callsAgain(adopter, "m") ? 1 : 0), 2);
+  EXPECT_EQ((may ? 1 : 0) + (callsAgain(successor, "m") ? 1 : 0), 2);
 }
 
-TEST(Adoption, AnAdopterThatDiedAnywhereLeavesAllForTheNext) {
+TEST(Takeover, ASuccessorThatDiedAnywhereLeavesAllForTheNext) {
   TempFolder folder;
   {
     Journal owner(folder.path, 3'000'000, {}, std::make_unique<Ownership>(folder.path, 7));
@@ -200,7 +200,7 @@
   EXPECT_FALSE(fs::exists(folder.path + "/owner-00000000000000000007"));
 }
 
-TEST(Adoption, AFolderFromBeforeTheFleetIsTakenOverAndNotGivenBack) {
+TEST(Takeover, AFolderFromBeforeTheFleetIsTakenOverAndNotGivenBack) {
   TempFolder folder;
   {
     Journal plain(folder.path, 3'000'000);
@@ -216,7 +216,7 @@
                std::runtime_error);
 }
 
-TEST(Adoption, WithoutTheFolderNobodyActs) {
+TEST(Takeover, WithoutTheFolderNobodyActs) {
   TempFolder folder;
   const std::string path = folder.path + "/f";
   fs::create_directory(path);
@@ -231,33 +231,33 @@
 
 using Names = std::set<std::string>;
 
-TEST(AdoptionChoice, OnlyWhatHasNoOwnerForLongAndNeverItsOwn) {
-  fleet::Adoption adoption({"me", 1'000, 10});
+TEST(TakeoverChoice, OnlyWhatHasNoOwnerForLongAndNeverItsOwn) {
+  fleet::Takeover takeover({"me", 1'000, 10});
   const Names all{"me", "a", "b"};
-  EXPECT_TRUE(adoption.look(all, {"a"}, 0).empty());
-  EXPECT_TRUE(adoption.look(all, {"a"}, 999).empty());
-  EXPECT_EQ(adoption.look(all, {"a"}, 1'000), std::vector<std::string>{"b"});
-  EXPECT_TRUE(adoption.look(all, {"a"}, 2'000).empty());  // it is being adopted
-  adoption.finished("b");
+  EXPECT_TRUE(takeover.look(all, {"a"}, 0).empty());
+  EXPECT_TRUE(takeover.look(all, {"a"}, 999).empty());
+  EXPECT_EQ(takeover.look(all, {"a"}, 1'000), std::vector<std::string>{"b"});
+  EXPECT_TRUE(takeover.look(all, {"a"}, 2'000).empty());  // it is being taken over
+  takeover.finished("b");
   // Back for a moment: the time begins anew.
-  EXPECT_TRUE(adoption.look(all, {"a", "b"}, 3'000).empty());
-  EXPECT_TRUE(adoption.look(all, {"a"}, 3'500).empty());
-  EXPECT_TRUE(adoption.look(all, {"a"}, 4'499).empty());
-  EXPECT_EQ(adoption.look(all, {"a"}, 4'500).size(), 1U);
+  EXPECT_TRUE(takeover.look(all, {"a", "b"}, 3'000).empty());
+  EXPECT_TRUE(takeover.look(all, {"a"}, 3'500).empty());
+  EXPECT_TRUE(takeover.look(all, {"a"}, 4'499).empty());
+  EXPECT_EQ(takeover.look(all, {"a"}, 4'500).size(), 1U);
 }
 
-TEST(AdoptionChoice, SoManyAtOnceAndAnewAfterARest) {
-  fleet::Adoption adoption({"me", 100, 2});
+TEST(TakeoverChoice, SoManyAtOnceAndAnewAfterARest) {
+  fleet::Takeover takeover({"me", 100, 2});
   const Names all{"a", "b", "c", "d"};
-  adoption.look(all, {}, 0);
-  EXPECT_EQ(adoption.look(all, {}, 100).size(), 2U);
-  EXPECT_TRUE(adoption.look(all, {}, 200).empty());
-  adoption.finished("a");
-  EXPECT_EQ(adoption.look({"c", "d"}, {}, 300), std::vector<std::string>{"c"});
-  adoption.rest();
-  adoption.finished("b");
-  EXPECT_TRUE(adoption.look({"d"}, {}, 1'000).empty());
-  EXPECT_EQ(adoption.look({"d"}, {}, 1'100), std::vector<std::string>{"d"});
+  takeover.look(all, {}, 0);
+  EXPECT_EQ(takeover.look(all, {}, 100).size(), 2U);
+  EXPECT_TRUE(takeover.look(all, {}, 200).empty());
+  takeover.finished("a");
+  EXPECT_EQ(takeover.look({"c", "d"}, {}, 300), std::vector<std::string>{"c"});
+  takeover.rest();
+  takeover.finished("b");
+  EXPECT_TRUE(takeover.look({"d"}, {}, 1'000).empty());
+  EXPECT_EQ(takeover.look({"d"}, {}, 1'100), std::vector<std::string>{"d"});
 }
 
 }  // namespace
--- a/proofs/doors.cpp
+++ b/verification/frontends.cpp
@@ -1,6 +1,6 @@
-// Proof: it makes no difference through which door a message comes. The same faults are played through RESP2,
-// HTTP and HTTP batches; ends and effects are compared message by message where the fault decides them, and
-// held to what is allowed where it races.
+// Proof: it makes no difference through which frontend a message comes. The same faults are played through
+// RESP2, HTTP and HTTP batches; ends and effects are compared message by message where the fault decides
+// them, and held to what is allowed where it races.
 #include <CLI/App.hpp>
 #include <CLI/Config.hpp>
 #include <CLI/Formatter.hpp>
@@ -26,7 +26,7 @@
 const std::string kBoth = "RESP2 and HTTP";
 
 // Which messages a fault concerns, and how: drawn by seed and message alone, so that it is the same at each
-// door.
+// frontend.
 class Draw {
  public:
   Draw(std::uint64_t seed, std::string salt) : seed_(seed), salt_(std::move(salt)) {}
@@ -54,7 +54,7 @@
                                                                                std::size_t) {};
   // Each message is handed in again in the same breath, changed for some.
   bool again = false;
-  bool both = false;      // is played through both doors at once as well
+  bool both = false;      // is played through both frontends at once as well
   bool scripted = false;  // by the partners: a run in which they did nothing wrong shows nothing
 };
 
@@ -141,7 +141,7 @@
   std::size_t misdeeds = 0;
 };
 
-Outcome play(const Fault& fault, const std::string& door, std::size_t count, std::uint64_t seed) {
+Outcome play(const Fault& fault, const std::string& frontend, std::size_t count, std::uint64_t seed) {
   ForwarderProcess::Options options;
   options.slots = 32;
   options.maxOpen = 10'000;
@@ -149,14 +149,14 @@
   fault.prepare(run, seed);
   run.start();
   const auto connect = [&]() -> std::unique_ptr<Client> {
-    if (door == "RESP2") return respClient(run.io(), run.process().resp(), 4);
-    if (door == "HTTP" || door == kBoth) return httpClient(run.io(), run.process().http(), 24);
+    if (frontend == "RESP2") return respClient(run.io(), run.process().resp(), 4);
+    if (frontend == "HTTP" || frontend == kBoth) return httpClient(run.io(), run.process().http(), 24);
     return batchClient(run.io(), run.process().http(), 50, milliseconds(4));
   };
   auto client = connect();
-  // Requests out on both doors at once, each message through one of them.
+  // Requests out on both frontends at once, each message through one of them.
   std::unique_ptr<Client> second;
-  if (door == kBoth) second = respClient(run.io(), run.process().resp(), 4);
+  if (frontend == kBoth) second = respClient(run.io(), run.process().resp(), 4);
   const std::string prefix = "m";
   const Draw changed(seed, "changed");
   auto next = Clock::now();
@@ -164,10 +164,10 @@
     fault.during(run, i, count);
     Message m = messageOf(prefix, i, kPartners);
     m.left = milliseconds(12'000);
-    run.hand(second && i % 2 == 0 ? *second : *client, door, m);
+    run.hand(second && i % 2 == 0 ? *second : *client, frontend, m);
     if (fault.again) {
       if (changed.of(m.id) < 0.3) m.body += " changed";
-      run.hand(*client, door, m);
+      run.hand(*client, frontend, m);
     }
     next = std::max(next + std::chrono::microseconds(1'300), Clock::now() - milliseconds(20));
     run.until(next);
@@ -202,7 +202,7 @@
   return end == "no answer" && (fault.name == "SIGKILL" || fault.name == "SIGTERM");
 }
 
-// ---- One door saturated ----
+// ---- One frontend saturated ----
 
 struct Saturation {
   double quietMs = 0, saturatedMs = 0;  // p99 from the schedule to the answer, medians of the rounds
@@ -211,11 +211,11 @@
   bool answered = true;
 };
 
-// p99 of a modest load through one door.
-double p99Of(Run& run, const std::string& door, std::size_t messages, std::size_t round, bool& answered,
+// p99 of a modest load through one frontend.
+double p99Of(Run& run, const std::string& frontend, std::size_t messages, std::size_t round, bool& answered,
              double& late) {
-  auto client = door == "RESP2" ? respClient(run.io(), run.process().resp(), 4)
-                                : httpClient(run.io(), run.process().http(), 8);
+  auto client = frontend == "RESP2" ? respClient(run.io(), run.process().resp(), 4)
+                                    : httpClient(run.io(), run.process().http(), 8);
   Latencies latencies(messages);
   std::size_t told = 0, taken = 0;
   const auto start = Clock::now();
@@ -243,13 +243,14 @@
   Saturation out;
   std::vector<double> quiet, loud;
   p99Of(run, good, messages, 0, out.answered, out.lateMs);  // connections and tickets grow; not counted
-  constexpr std::size_t kRude = 160;                        // over either door's share of 256 descriptors
+  constexpr std::size_t kRude = 160;                        // over either frontend's share of 256 descriptors
   for (std::size_t round = 0; round < 3; ++round) {
     quiet.push_back(p99Of(run, good, messages, 1 + 2 * round, out.answered, out.lateMs));
     // On a thread of its own: what the rude do costs this program time too, and that is not what is measured.
     boost::asio::io_context loop;
     RudeClients rude(loop, good == "RESP2" ? run.process().http() : run.process().resp(),
-                     good == "RESP2" ? RudeClients::Door::http : RudeClients::Door::resp, kRude, 20'000);
+                     good == "RESP2" ? RudeClients::Frontend::http : RudeClients::Frontend::resp, kRude,
+                     20'000);
     std::jthread thread([&loop] { loop.run(); });
     run.wait(milliseconds(300));
     loud.push_back(p99Of(run, good, messages, 2 + 2 * round, out.answered, out.lateMs));
@@ -267,7 +268,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app("Plays the same faults through each door and compares the ends.", "doors");
+  CLI::App app("Plays the same faults through each frontend and compares the ends.", "doors");
   bool quick = false, verbose = false;
   std::uint64_t seed = 1;
   std::string only;
@@ -278,32 +279,32 @@
   CLI11_PARSE(app, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   const std::size_t count = quick ? 300 : 2'000;
-  const std::vector<std::string> doors = {"RESP2", "HTTP", "HTTP batch", kBoth};
+  const std::vector<std::string> frontends = {"RESP2", "HTTP", "HTTP batch", kBoth};
   const std::vector<Fault> all = faults();
   struct Job {
-    std::size_t fault, door;
+    std::size_t fault, frontend;
   };
   std::vector<Job> jobs;
   for (std::size_t f = 0; f < all.size(); ++f) {
     if (!only.empty() && all[f].name != only) continue;
-    for (std::size_t d = 0; d < doors.size(); ++d) {
-      if (doors[d] != kBoth || all[f].both) jobs.push_back({f, d});
+    for (std::size_t d = 0; d < frontends.size(); ++d) {
+      if (frontends[d] != kBoth || all[f].both) jobs.push_back({f, d});
     }
   }
-  std::vector<std::vector<Outcome>> outcomes(all.size(), std::vector<Outcome>(doors.size()));
+  std::vector<std::vector<Outcome>> outcomes(all.size(), std::vector<Outcome>(frontends.size()));
   std::atomic<std::size_t> nextJob = 0;
   std::mutex print;
   std::vector<std::string> errors;
   const auto playOne = [&](std::size_t f, std::size_t d) {
     try {
-      outcomes[f][d] = play(all[f], doors[d], count, seed);
+      outcomes[f][d] = play(all[f], frontends[d], count, seed);
     } catch (const std::exception& problem) {
       const std::lock_guard lock(print);
-      errors.push_back(all[f].name + ", " + doors[d] + ": " + problem.what());
+      errors.push_back(all[f].name + ", " + frontends[d] + ": " + problem.what());
     }
   };
   const auto work = [&] {
-    for (std::size_t j; (j = nextJob++) < jobs.size();) playOne(jobs[j].fault, jobs[j].door);
+    for (std::size_t j; (j = nextJob++) < jobs.size();) playOne(jobs[j].fault, jobs[j].frontend);
   };
   const auto started = Clock::now();
   std::vector<std::thread> threads;
@@ -313,7 +314,7 @@
   for (std::size_t i = 0; i < lanes; ++i) threads.emplace_back(work);
   for (std::thread& thread : threads) thread.join();
 
-  // Where the doors differ, the module may have parked a destination because this machine, with all those
+  // Where the frontends differ, the module may have parked a destination because this machine, with all those
   // plays side by side, was slow. Then the fault alone decides when it is played alone: once more, and that
   // counts. What was broken in the first play stays broken.
   std::size_t alone = 0, brokenBefore = 0;
@@ -321,8 +322,8 @@
     const auto differs = [&](const Outcome& o) { return !o.ends.empty() && o.ends != outcomes[f][0].ends; };
     if (!all[f].decides || std::none_of(outcomes[f].begin(), outcomes[f].end(), differs)) continue;
     ++alone;
-    for (std::size_t d = 0; d < doors.size(); ++d) {
-      if (doors[d] == kBoth) continue;
+    for (std::size_t d = 0; d < frontends.size(); ++d) {
+      if (frontends[d] == kBoth) continue;
       brokenBefore += outcomes[f][d].broken.size();
       playOne(f, d);
     }
@@ -332,19 +333,19 @@
   for (std::size_t f = 0; f < all.size(); ++f) {
     if (!only.empty() && all[f].name != only) continue;
     ++(all[f].decides ? decided : racing);
-    for (std::size_t d = 0; d < doors.size(); ++d) {
-      if (doors[d] == kBoth && !all[f].both) continue;
+    for (std::size_t d = 0; d < frontends.size(); ++d) {
+      if (frontends[d] == kBoth && !all[f].both) continue;
       const Outcome& o = outcomes[f][d];
-      std::cout << all[f].name << ", " << doors[d] << ":";
+      std::cout << all[f].name << ", " << frontends[d] << ":";
       for (const auto& [end, n] : o.counts) std::cout << " " << end << " " << n;
       std::cout << (all[f].scripted ? "; misdeeds " + std::to_string(o.misdeeds) : "") << "\n";
       if (all[f].scripted && o.misdeeds == 0)
-        errors.push_back(all[f].name + ", " + doors[d] + ": the fault did not happen");
+        errors.push_back(all[f].name + ", " + frontends[d] + ": the fault did not happen");
       for (std::size_t i = 0; i < o.broken.size() && (verbose || i < 5); ++i)
         std::cout << "  BROKEN " << o.broken[i] << "\n";
       broken += o.broken.size();
       if (o.ends.size() != count)
-        errors.push_back(all[f].name + ", " + doors[d] + ": not all were handed in");
+        errors.push_back(all[f].name + ", " + frontends[d] + ": not all were handed in");
       for (const auto& [end, n] : o.counts) {
         if (all[f].decides ? false : !allowed(all[f], end)) {
           outside += n;
@@ -360,8 +361,8 @@
         if (other == end) continue;
         ++differences;
         if (verbose || shown++ < 5)
-          std::cout << "  DIFFERS " << id << ": " << end << " by " << doors[0] << ", " << other << " by "
-                    << doors[d] << "\n";
+          std::cout << "  DIFFERS " << id << ": " << end << " by " << frontends[0] << ", " << other << " by "
+                    << frontends[d] << "\n";
       }
     }
   }
@@ -370,13 +371,14 @@
   if (only.empty() || only == "saturation") {
     for (const char* good : {"RESP2", "HTTP"}) {
       const Saturation s = saturate(good, quick ? 200 : 1'500);
-      std::cout << good << " while the other door is saturated by " << s.rude << " connections: p99 "
+      std::cout << good << " while the other frontend is saturated by " << s.rude << " connections: p99 "
                 << s.saturatedMs << " ms, quiet " << s.quietMs << " ms\n";
-      // Under this the difference is the scheduler's and not the other door's.
+      // Under this the difference is the scheduler's and not the other frontend's.
       const double kFloorMs = quick ? 50 : 5;  // the quick form runs on any machine, busy ones too
       if (s.saturatedMs > std::max(2 * s.quietMs, kFloorMs))
-        errors.push_back(std::string(good) + ": p99 more than doubled beside a saturated door");
-      if (!s.answered) errors.push_back(std::string(good) + ": not all were taken beside a saturated door");
+        errors.push_back(std::string(good) + ": p99 more than doubled beside a saturated frontend");
+      if (!s.answered)
+        errors.push_back(std::string(good) + ": not all were taken beside a saturated frontend");
       saturation[good] = {{"quiet_p99_ms", s.quietMs},
                           {"saturated_p99_ms", s.saturatedMs},
                           {"late_ms", s.lateMs},
@@ -392,7 +394,7 @@
                     {"faults", decided + racing},
                     {"faults_decided", decided},
                     {"faults_racing", racing},
-                    {"doors", doors.size() - 1},
+                    {"doors", frontends.size() - 1},
                     {"messages", jobs.size() * count},
                     {"compared", compared},
                     {"differences", differences},
