--- a/proofs/leases.cpp
+++ b/verification/leases.cpp
@@ -1,7 +1,7 @@
 // Proof: among real processes too two holders' acts never overlap, tokens never go back, and every lease is
-// acted under again within a stated time once faults stop. Keepers and members with a relay in every link and
-// clocks of their own; every act is witnessed. Holders are not paused here: what a pause between check and
-// act does is in tests/rig/leases_test.cpp and in the model.
+// acted under again within a stated time once faults stop. Coordinators and members with a proxy in every
+// link and clocks of their own; every act is witnessed. Holders are not paused here: what a pause between
+// check and act does is in tests/harness/leases_test.cpp and in the model.
 #include <signal.h>
 
 #include <CLI/App.hpp>
@@ -14,7 +14,7 @@
 
 #include "fleet.hpp"
 
-using namespace quilltide::rig;
+using namespace quilltide::harness;
 using nlohmann::json;
 
 namespace {
@@ -27,27 +27,28 @@
 
 struct Play {
   std::uint64_t seed = 1;
-  int keepers = 5, actors = 12, leases = 6, seconds = 90;
+  int coordinators = 5, testClients = 12, leases = 6, seconds = 90;
 };
 
 class Breaker {
  public:
-  Breaker(Rig& rig, const Play& play, std::mt19937_64& random) : rig_(rig), play_(play), random_(random) {}
+  Breaker(Harness& harness, const Play& play, std::mt19937_64& random)
+      : harness_(harness), play_(play), random_(random) {}
 
   void one() {
     static const std::vector<std::pair<const char*, void (Breaker::*)()>> kinds{
-        {"kill a keeper", &Breaker::killKeeper},
+        {"kill a coordinator", &Breaker::killCoordinator},
         {"kill the leader", &Breaker::killLeader},
-        {"kill a member", &Breaker::killActor},
-        {"end a member", &Breaker::endActor},
-        {"pause a keeper", &Breaker::pauseKeeper},
-        {"cut keepers apart", &Breaker::cutKeepers},
-        {"isolate a keeper", &Breaker::isolate},
-        {"cut a member", &Breaker::cutActor},
+        {"kill a member", &Breaker::killTestClient},
+        {"end a member", &Breaker::endTestClient},
+        {"pause a coordinator", &Breaker::pauseCoordinator},
+        {"cut coordinators apart", &Breaker::cutCoordinators},
+        {"isolate a coordinator", &Breaker::isolate},
+        {"cut a member", &Breaker::cutTestClient},
         {"delay", &Breaker::delay},
         {"reset", &Breaker::reset},
         {"break after bytes", &Breaker::breakAfter},
-        {"all keepers", &Breaker::killAll}};
+        {"all coordinators", &Breaker::killAll}};
     std::size_t which = pick(kinds.size());
     if (which + 1 == kinds.size() && pick(3) != 0) which = pick(kinds.size() - 1);  // the heaviest is rarer
     ++counts_[kinds[which].first];
@@ -56,7 +57,7 @@
 
   // What was broken comes back, each at its time.
   void mend() {
-    const auto now = rig_.timeline().now();
+    const auto now = harness_.timeline().now();
     for (auto at = later_.begin(); at != later_.end() && at->first <= now;) {
       at->second();
       at = later_.erase(at);
@@ -65,98 +66,103 @@
   void mendAll() {
     for (auto& [when, what] : later_) what();
     later_.clear();
-    for (const auto& [name, link] : rig_.links(".*")) link->heal();
-    for (Child* child : rig_.children("[ka][0-9]+")) {
+    for (const auto& [name, link] : harness_.links(".*")) link->heal();
+    for (Child* child : harness_.children("[ka][0-9]+")) {
       if (child->paused()) child->signal(SIGCONT);
-      if (!child->running()) rig_.start(child->name());
+      if (!child->running()) harness_.start(child->name());
     }
-    rig_.timeline().add("rig", "faults have stopped");
+    harness_.timeline().add("harness", "faults have stopped");
   }
   const std::map<std::string, std::size_t>& counts() const { return counts_; }
 
  private:
   std::size_t pick(std::size_t n) { return random_() % n; }
-  std::string keeper() { return "k" + std::to_string(1 + pick(static_cast<std::size_t>(play_.keepers))); }
-  std::string actor() { return "a" + std::to_string(1 + pick(static_cast<std::size_t>(play_.actors))); }
+  std::string coordinator() {
+    return "k" + std::to_string(1 + pick(static_cast<std::size_t>(play_.coordinators)));
+  }
+  std::string testClient() {
+    return "a" + std::to_string(1 + pick(static_cast<std::size_t>(play_.testClients)));
+  }
   void in(std::int64_t least, std::int64_t most, std::function<void()> what) {
     const auto ms = least + static_cast<std::int64_t>(pick(static_cast<std::size_t>(most - least)));
-    later_.emplace(rig_.timeline().now() + ms * 1'000, std::move(what));
+    later_.emplace(harness_.timeline().now() + ms * 1'000, std::move(what));
   }
   void back(const std::string& name) {
     in(100, 1'500, [this, name] {
-      if (!rig_.child(name).running()) rig_.start(name);
+      if (!harness_.child(name).running()) harness_.start(name);
     });
   }
   void killAndBack(const std::string& name) {
-    rig_.child(name).kill();
+    harness_.child(name).kill();
     back(name);
   }
-  void killKeeper() { killAndBack(keeper()); }
+  void killCoordinator() { killAndBack(coordinator()); }
   void killLeader() {
-    const std::string leader = leaderOf(rig_, play_.keepers);
+    const std::string leader = leaderOf(harness_, play_.coordinators);
     if (!leader.empty()) killAndBack(leader);
   }
-  void killActor() { killAndBack(actor()); }
-  void endActor() {
-    const std::string name = actor();
-    rig_.child(name).signal(SIGTERM);
+  void killTestClient() { killAndBack(testClient()); }
+  void endTestClient() {
+    const std::string name = testClient();
+    harness_.child(name).signal(SIGTERM);
     back(name);
   }
-  void pauseKeeper() {
-    const std::string name = keeper();
-    if (!rig_.child(name).running()) return;
-    rig_.child(name).signal(SIGSTOP);
-    in(200, 2'500, [this, name] { rig_.child(name).signal(SIGCONT); });
+  void pauseCoordinator() {
+    const std::string name = coordinator();
+    if (!harness_.child(name).running()) return;
+    harness_.child(name).signal(SIGSTOP);
+    in(200, 2'500, [this, name] { harness_.child(name).signal(SIGCONT); });
   }
   void set(const std::string& pattern, const Faults& faults, std::size_t ways) {
-    for (const auto& [name, link] : rig_.links(pattern)) {
+    for (const auto& [name, link] : harness_.links(pattern)) {
       if (ways != 1) link->set(Way::toward, faults);
       if (ways != 2) link->set(Way::back, faults);
-      rig_.timeline().add("rig", name + (faults.cut ? ": cut" : ": faults") +
-                                     (ways == 1   ? " back"
-                                      : ways == 2 ? " toward"
-                                                  : ""));
+      harness_.timeline().add("harness", name + (faults.cut ? ": cut" : ": faults") +
+                                             (ways == 1   ? " back"
+                                              : ways == 2 ? " toward"
+                                                          : ""));
     }
     in(200, 2'500, [this, pattern] {
-      for (const auto& [name, link] : rig_.links(pattern)) link->heal();
-      rig_.timeline().add("rig", pattern + ": healed");
+      for (const auto& [name, link] : harness_.links(pattern)) link->heal();
+      harness_.timeline().add("harness", pattern + ": healed");
     });
   }
-  void cutKeepers() {
+  void cutCoordinators() {
     Faults cut;
     cut.cut = true;
-    set(keeper() + "->" + keeper() + "\\..*", cut, pick(3));
+    set(coordinator() + "->" + coordinator() + "\\..*", cut, pick(3));
   }
   void isolate() {
     Faults cut;
     cut.cut = true;
-    const std::string name = keeper();
+    const std::string name = coordinator();
     set("(" + name + "->k.*|k.->" + name + "\\..*)", cut, pick(3));
   }
-  void cutActor() {
+  void cutTestClient() {
     Faults cut;
     cut.cut = true;
-    set(actor() + "->k.*", cut, pick(3));
+    set(testClient() + "->k.*", cut, pick(3));
   }
   void delay() {
     Faults slow;
     slow.delay = milliseconds(10 + pick(150));
-    set(pick(2) == 0 ? keeper() + "->k.*" : actor() + "->k.*", slow, pick(3));
+    set(pick(2) == 0 ? coordinator() + "->k.*" : testClient() + "->k.*", slow, pick(3));
   }
   void reset() {
-    for (const auto& [name, link] : rig_.links(pick(2) == 0 ? keeper() + "->k.*" : actor() + "->k.*"))
+    for (const auto& [name, link] :
+         harness_.links(pick(2) == 0 ? coordinator() + "->k.*" : testClient() + "->k.*"))
       link->reset();
   }
   void breakAfter() {
     Faults breaks;
     breaks.resetAfter = pick(2'000);
-    set(pick(2) == 0 ? keeper() + "->k.*" : actor() + "->k.*", breaks, 2);
+    set(pick(2) == 0 ? coordinator() + "->k.*" : testClient() + "->k.*", breaks, 2);
   }
   void killAll() {
-    for (int id = 1; id <= play_.keepers; ++id) killAndBack("k" + std::to_string(id));
+    for (int id = 1; id <= play_.coordinators; ++id) killAndBack("k" + std::to_string(id));
   }
 
-  Rig& rig_;
+  Harness& harness_;
   const Play& play_;
   std::mt19937_64& random_;
   std::multimap<std::int64_t, std::function<void()>> later_;
@@ -167,52 +173,52 @@
 
 json play(const Play& play, std::vector<std::string>& broken, const std::string& keep) {
   boost::asio::io_context io;
-  Rig rig(io, keep);
-  Witness witness(io, rig.timeline(), rig.at("witness", "http"));
+  Harness harness(io, keep);
+  Witness witness(io, harness.timeline(), harness.at("witness", "http"));
   std::mt19937_64 random(play.seed);
-  KeeperPlan keepers;
-  keepers.count = play.keepers;
-  keepers.electionMs = kElectionMs;
-  keepers.drift = kDrift;
-  keepers.mostHoldMs = 1'500;
-  keepers.clock = true;
-  keepers.snapshotEntries = 256;
-  keepers.trailingEntries = 64;
-  addKeepers(rig, KEEPER, keepers);
-  for (int i = 1; i <= play.actors; ++i) {
-    ActorPlan actor;
-    actor.name = "a" + std::to_string(i);
+  CoordinatorPlan coordinators;
+  coordinators.count = play.coordinators;
+  coordinators.electionMs = kElectionMs;
+  coordinators.drift = kDrift;
+  coordinators.mostHoldMs = 1'500;
+  coordinators.clock = true;
+  coordinators.snapshotEntries = 256;
+  coordinators.trailingEntries = 64;
+  addCoordinators(harness, COORDINATOR, coordinators);
+  for (int i = 1; i <= play.testClients; ++i) {
+    TestClientPlan testClient;
+    testClient.name = "a" + std::to_string(i);
     for (int l = 0; l < play.leases; ++l)
-      if ((i + l) % 2 == 0) actor.leases.push_back(leaseOf(l));
-    actor.termMs = kTermMs;
-    actor.drift = kDrift;
-    actor.clock = true;
-    actor.giveBackAfter = i % 3 == 0 ? 25 : 0;
-    addActor(rig, ACTOR, actor, play.keepers);
+      if ((i + l) % 2 == 0) testClient.leases.push_back(leaseOf(l));
+    testClient.termMs = kTermMs;
+    testClient.drift = kDrift;
+    testClient.clock = true;
+    testClient.giveBackAfter = i % 3 == 0 ? 25 : 0;
+    addTestClient(harness, LEASE_TEST_CLIENT, testClient, play.coordinators);
   }
-  rig.startAll();
+  harness.startAll();
   // Clocks at the extremes of what is stated.
-  for (Child* child : rig.children("[ka][0-9]+"))
+  for (Child* child : harness.children("[ka][0-9]+"))
     child->clock()->rate(random() % 2 == 0 ? 1 + kDrift * 0.99 : 1 - kDrift * 0.99);
-  if (awaitLeader(rig, play.keepers).empty()) broken.push_back("no keeper leads at the start");
-  Breaker faults(rig, play, random);
-  const auto end = rig.timeline().now() + static_cast<std::int64_t>(play.seconds) * 1'000'000;
-  while (rig.timeline().now() < end) {
-    rig.wait(milliseconds(100 + random() % 500));
+  if (awaitLeader(harness, play.coordinators).empty()) broken.push_back("no coordinator leads at the start");
+  Breaker faults(harness, play, random);
+  const auto end = harness.timeline().now() + static_cast<std::int64_t>(play.seconds) * 1'000'000;
+  while (harness.timeline().now() < end) {
+    harness.wait(milliseconds(100 + random() % 500));
     faults.mend();
     faults.one();
   }
   faults.mendAll();
-  const auto stopped = rig.timeline().now();
+  const auto stopped = harness.timeline().now();
   double slowest = 0;
   std::map<int, bool> again;
-  rig.until(
+  harness.until(
       [&] {
         bool all = true;
         for (int l = 0; l < play.leases; ++l) {
           if (!again[l] && witness.under(leaseOf(l), stopped) > 0) {
             again[l] = true;
-            slowest = std::max(slowest, static_cast<double>(rig.timeline().now() - stopped) / 1'000);
+            slowest = std::max(slowest, static_cast<double>(harness.timeline().now() - stopped) / 1'000);
           }
           all = all && again[l];
         }
@@ -223,27 +229,27 @@
     if (!again[l])
       broken.push_back("nobody acts under " + leaseOf(l) + " " + std::to_string(kRecoveryMs) +
                        " ms after the faults");
-  rig.wait(milliseconds(500));
+  harness.wait(milliseconds(500));
   if (const std::string overlap = witness.overlap(); !overlap.empty()) broken.push_back(overlap);
   if (witness.refused() > 0) broken.push_back("an act came with an older token than one before it");
   std::map<std::string, std::set<std::uint64_t>> grants;
   std::size_t handovers = 0;
   for (const Witness::Act& act : witness.acts()) handovers += grants[act.lease].insert(act.token).second;
-  for (Child* child : rig.children("[ka][0-9]+")) {
+  for (Child* child : harness.children("[ka][0-9]+")) {
     if (child->crashes() > 0) broken.push_back(child->name() + " crashed");
-    // A keeper that ends by itself had a reason to, and none of these faults is one.
-    if (rig.timeline().count(child->name(), "event=cannot_go_on") > 0)
+    // A coordinator that ends by itself had a reason to, and none of these faults is one.
+    if (harness.timeline().count(child->name(), "event=cannot_go_on") > 0)
       broken.push_back(child->name() + " gave up");
   }
   if (!broken.empty()) {
-    std::ofstream("leases-time-line.txt") << rig.timeline().text();
+    std::ofstream("leases-time-line.txt") << harness.timeline().text();
     std::cerr << "the time-line is in leases-time-line.txt" << std::endl;
   }
   return {{"acts", witness.acts().size()},
           {"grants", handovers},
           {"faults", faults.counts()},
-          {"elections", rig.timeline().count("k[0-9]+", "event=leads")},
-          {"terms_run_out", rig.timeline().count("a[0-9]+", "lost job")},
+          {"elections", harness.timeline().count("k[0-9]+", "event=leads")},
+          {"terms_run_out", harness.timeline().count("a[0-9]+", "lost job")},
           {"recovered_within_ms", slowest},
           {"recovery_bound_ms", kRecoveryMs}};
 }
@@ -252,28 +258,29 @@
 // see nothing.
 bool seesBrokenClocks() {
   boost::asio::io_context io;
-  Rig rig(io);
-  Witness witness(io, rig.timeline(), rig.at("witness", "http"));
-  KeeperPlan keepers;
-  keepers.count = 1;
-  addKeepers(rig, KEEPER, keepers);
+  Harness harness(io);
+  Witness witness(io, harness.timeline(), harness.at("witness", "http"));
+  CoordinatorPlan coordinators;
+  coordinators.count = 1;
+  addCoordinators(harness, COORDINATOR, coordinators);
   for (const char* name : {"a1", "a2"}) {
-    ActorPlan actor{name, {"job"}};
-    actor.clock = true;
-    actor.actMs = 30;
-    actor.everyMs = 1;
-    addActor(rig, ACTOR, actor, 1);
+    TestClientPlan testClient{name, {"job"}};
+    testClient.clock = true;
+    testClient.actMs = 30;
+    testClient.everyMs = 1;
+    addTestClient(harness, LEASE_TEST_CLIENT, testClient, 1);
   }
-  rig.startAll();
-  rig.until([&] { return witness.acts().size() > 5; }, milliseconds(10'000));
+  harness.startAll();
+  harness.until([&] { return witness.acts().size() > 5; }, milliseconds(10'000));
   if (witness.acts().empty()) return false;
   const std::string first = witness.acts().back().member;
-  rig.child(first).clock()->rate(0.3);
+  harness.child(first).clock()->rate(0.3);
   Faults cut;
   cut.cut = true;
-  rig.wait(milliseconds(500));
-  for (const auto& [name, link] : rig.links(first + "->k.*")) link->set(Way::toward, cut);
-  return rig.until([&] { return !witness.overlap().empty() || witness.refused() > 0; }, milliseconds(6'000));
+  harness.wait(milliseconds(500));
+  for (const auto& [name, link] : harness.links(first + "->k.*")) link->set(Way::toward, cut);
+  return harness.until([&] { return !witness.overlap().empty() || witness.refused() > 0; },
+                       milliseconds(6'000));
 }
 
 }  // namespace
@@ -298,8 +305,8 @@
     std::cerr << "play it again: leases --seed " << plan.seed << " --seconds " << plan.seconds << std::endl;
   out["proof"] = "leases";
   out["seed"] = plan.seed;
-  out["keepers"] = plan.keepers;
-  out["members"] = plan.actors;
+  out["coordinators"] = plan.coordinators;
+  out["members"] = plan.testClients;
   out["sees_broken_clocks"] = sees;
   out["holds"] = broken.empty();
   std::cout << out.dump() << std::endl;
--- a/proofs/leases_world.hpp
+++ b/verification/leases_world.hpp
@@ -1,5 +1,5 @@
-// A fleet in virtual time: keepers with a log, members with the shipped client code, and everything between
-// them that can go wrong. One schedule is one world; all of it follows from its choices.
+// A fleet in virtual time: coordinators with a log, members with the shipped client code, and everything
+// between them that can go wrong. One schedule is one world; all of it follows from its choices.
 #pragma once
 
 #include <algorithm>
@@ -14,8 +14,8 @@
 #include <string>
 #include <vector>
 
-#include "fleet/holder/holder.hpp"
-#include "fleet/judge/judge.hpp"
+#include "fleet/expiry/expiry.hpp"
+#include "fleet/lease_client/lease_client.hpp"
 #include "fleet/state/state.hpp"
 
 namespace quilltide::fleet::model {
@@ -56,7 +56,7 @@
 };
 
 struct Plan {
-  std::size_t members = 4, leases = 2, keepers = 3;
+  std::size_t members = 4, leases = 2, coordinators = 3;
   Micros ttl = 1'000'000, faultsFor = 3'000'000, calmFor = 6'000'000;
   Micros mostHold = 0;
   double drift = 0.05;   // stated
@@ -76,16 +76,16 @@
   World(const Plan& plan, Choices choices) : plan_(plan), choices_(std::move(choices)) {
     Bounds bounds;
     bounds.longestTtl = plan.ttl;
-    Judge::Settings judge;
+    ExpiryTracker::Settings judge;
     judge.drift = plan.drift;
     judge.mostHold = plan.mostHold;
-    for (std::size_t i = 0; i < plan.keepers; ++i) {
-      keepers_.push_back(std::make_unique<Keeper>(State(bounds), Judge(judge)));
-      keepers_.back()->rate = choices_.rate(plan.clocks);
+    for (std::size_t i = 0; i < plan.coordinators; ++i) {
+      coordinators_.push_back(std::make_unique<Coordinator>(State(bounds), ExpiryTracker(judge)));
+      coordinators_.back()->rate = choices_.rate(plan.clocks);
     }
     copies_.emplace_back(0, State(bounds));
     for (std::size_t i = 0; i < plan.members; ++i) {
-      Holder::Settings s;
+      LeaseClient::Settings s;
       s.name = "m" + std::to_string(i);
       s.nonce = "n" + std::to_string(i);
       s.ttl = plan.ttl;
@@ -94,7 +94,7 @@
       s.retry = 20'000;
       s.longestRetry = plan.ttl / 4;
       s.seed = i + 1;
-      members_.push_back(std::make_unique<Member>(Holder(s)));
+      members_.push_back(std::make_unique<SessionClient>(LeaseClient(s)));
       members_.back()->rate = choices_.rate(plan.clocks);
       members_.back()->offset = static_cast<Micros>(i) * 77'000'000;
       for (std::size_t l = 0; l < plan.leases; ++l) members_.back()->holder.want(leaseName(l));
@@ -138,10 +138,10 @@
     Command command;
     std::optional<Reply> reply;
   };
-  struct Keeper {
-    Keeper(State s, Judge j) : state(std::move(s)), judge(std::move(j)) {}
+  struct Coordinator {
+    Coordinator(State s, ExpiryTracker j) : state(std::move(s)), judge(std::move(j)) {}
     State state;
-    Judge judge;
+    ExpiryTracker judge;
     double rate = 1;
     bool leading = false;
     std::uint64_t term = 0;
@@ -157,9 +157,9 @@
     Token token;
     bool paused = false;
   };
-  struct Member {
-    explicit Member(Holder h) : holder(std::move(h)) {}
-    Holder holder;
+  struct SessionClient {
+    explicit SessionClient(LeaseClient h) : holder(std::move(h)) {}
+    LeaseClient holder;
     double rate = 1;
     Micros offset = 0, pausedUntil = 0;
     std::size_t leader = 0;
@@ -170,10 +170,12 @@
   std::string leaseName(std::size_t i) const { return "lease" + std::to_string(i); }
   void at(Micros when, std::function<void()> act) { events_.push({when, ++order_, std::move(act)}); }
   void after(Micros delay, std::function<void()> act) { at(now_ + delay, std::move(act)); }
-  Micros clockOf(const Member& m) const {
+  Micros clockOf(const SessionClient& m) const {
     return m.offset + static_cast<Micros>(static_cast<double>(now_) * m.rate);
   }
-  Micros clockOf(const Keeper& k) const { return static_cast<Micros>(static_cast<double>(now_) * k.rate); }
+  Micros clockOf(const Coordinator& k) const {
+    return static_cast<Micros>(static_cast<double>(now_) * k.rate);
+  }
   bool calm() const { return now_ >= plan_.faultsFor; }
   void breaks(const std::string& what) {
     if (!broken_) broken_ = "at " + std::to_string(now_) + " us: " + what;
@@ -197,10 +199,10 @@
   }
 
   void wake(std::size_t i) {
-    Member& m = *members_[i];
+    SessionClient& m = *members_[i];
     if (m.pausedUntil > now_) return at(m.pausedUntil, [this, i] { wake(i); });
     const Micros clock = clockOf(m);
-    for (Holder::Request& request : m.holder.send(clock)) {
+    for (LeaseClient::Request& request : m.holder.send(clock)) {
       const std::size_t to = m.leader;
       carry(
           [this, i, to, request = std::move(request)] {
@@ -208,8 +210,8 @@
           },
           true);
     }
-    for (const Holder::Event& e : m.holder.take(clock)) {
-      if (e.kind != Holder::Event::Kind::gained) continue;
+    for (const LeaseClient::Event& e : m.holder.take(clock)) {
+      if (e.kind != LeaseClient::Event::Kind::gained) continue;
       ++counts_.grants;
       Token& last = lastToken_[e.lease];
       if (e.token < last) breaks("token of " + e.lease + " went back");
@@ -229,10 +231,10 @@
   }
 
   void arrive(std::size_t k, const Reply& reply, const Command& command) {
-    Keeper& keeper = *keepers_[k];
-    if (keeper.pausedUntil > now_)
-      return at(keeper.pausedUntil, [this, k, reply, command] { arrive(k, reply, command); });
-    if (!keeper.leading) {
+    Coordinator& coordinator = *coordinators_[k];
+    if (coordinator.pausedUntil > now_)
+      return at(coordinator.pausedUntil, [this, k, reply, command] { arrive(k, reply, command); });
+    if (!coordinator.leading) {
       carry([this, reply] { refuse(reply); }, false);
       return;
     }
@@ -240,16 +242,16 @@
   }
 
   void refuse(const Reply& reply) {
-    Member& m = *members_[reply.member];
+    SessionClient& m = *members_[reply.member];
     if (m.pausedUntil > now_) return at(m.pausedUntil, [this, reply] { refuse(reply); });
-    m.leader = choices_.isDrawn() ? choices_.below(keepers_.size()) : leaderNow_;
+    m.leader = choices_.isDrawn() ? choices_.below(coordinators_.size()) : leaderNow_;
     if (calm()) m.leader = leaderNow_;
     m.holder.failed(reply.tag, clockOf(m));
     wake(reply.member);
   }
 
   void answer(const Reply& reply, const Result& result) {
-    Member& m = *members_[reply.member];
+    SessionClient& m = *members_[reply.member];
     if (m.pausedUntil > now_) return at(m.pausedUntil, [this, reply, result] { answer(reply, result); });
     m.holder.answered(reply.tag, result, clockOf(m));
     wake(reply.member);
@@ -258,58 +260,58 @@
   // ---- The log ----
 
   void propose(std::size_t k, const Command& command, std::optional<Reply> reply) {
-    Keeper& keeper = *keepers_[k];
-    keeper.proposed.push_back({keeper.term, command, reply});
-    const std::uint64_t life = keeper.life;
+    Coordinator& coordinator = *coordinators_[k];
+    coordinator.proposed.push_back({coordinator.term, command, reply});
+    const std::uint64_t life = coordinator.life;
     after(choices_.between(500, 10'000), [this, k, life] { commit(k, life); });
   }
 
   void commit(std::size_t k, std::uint64_t life) {
-    Keeper& keeper = *keepers_[k];
-    if (life != keeper.life || keeper.proposed.empty()) return;
-    Proposed p = std::move(keeper.proposed.front());
-    keeper.proposed.pop_front();
+    Coordinator& coordinator = *coordinators_[k];
+    if (life != coordinator.life || coordinator.proposed.empty()) return;
+    Proposed p = std::move(coordinator.proposed.front());
+    coordinator.proposed.pop_front();
     if (p.term != term_) {  // a majority follows another one
       if (p.reply) carry([this, reply = *p.reply] { refuse(reply); }, false);
       return;
     }
     append(p.command);
     const Index index = log_.size();
-    if (p.reply) keeper.replies[index].push_back(*p.reply);
+    if (p.reply) coordinator.replies[index].push_back(*p.reply);
     // Acks may reach the leader late, also after it was deposed without knowing.
     const bool late = !calm() && choices_.isDrawn() && choices_.chance(0.05);
     const Micros delay = late ? choices_.between(plan_.ttl / 4, plan_.ttl * 2) : choices_.between(0, 2'000);
     after(delay, [this, k, life, index] { learn(k, life, index); });
-    for (std::size_t other = 0; other < keepers_.size(); ++other) {
+    for (std::size_t other = 0; other < coordinators_.size(); ++other) {
       if (other == k) continue;
       after(choices_.between(1'000, calm() ? 10'000 : 200'000),
-            [this, other, life = keepers_[other]->life, index] { learn(other, life, index); });
+            [this, other, life = coordinators_[other]->life, index] { learn(other, life, index); });
     }
   }
 
   void append(const Command& command) { log_.push_back(command); }
 
   void learn(std::size_t k, std::uint64_t life, Index index) {
-    Keeper& keeper = *keepers_[k];
-    if (life != keeper.life) return;
-    if (keeper.pausedUntil > now_)
-      return at(keeper.pausedUntil, [this, k, life, index] { learn(k, life, index); });
-    for (Index i = keeper.state.applied() + 1; i <= index; ++i) {
+    Coordinator& coordinator = *coordinators_[k];
+    if (life != coordinator.life) return;
+    if (coordinator.pausedUntil > now_)
+      return at(coordinator.pausedUntil, [this, k, life, index] { learn(k, life, index); });
+    for (Index i = coordinator.state.applied() + 1; i <= index; ++i) {
       std::vector<Effect> effects;
-      const Result result = keeper.state.apply(i, log_[i - 1], &effects);
-      keeper.judge.observe(keeper.state, effects, clockOf(keeper));
+      const Result result = coordinator.state.apply(i, log_[i - 1], &effects);
+      coordinator.judge.observe(coordinator.state, effects, clockOf(coordinator));
       if (i > firstApplied_) {
         firstApplied_ = i;
         if (const auto* put = std::get_if<Put>(&log_[i - 1]); put != nullptr && put->fence)
           fenced(i, *put, result);
-        if (i % 8 == 0) copies_.emplace_back(i, keeper.state);
-        if (const auto what = keeper.state.broken()) breaks(*what);
+        if (i % 8 == 0) copies_.emplace_back(i, coordinator.state);
+        if (const auto what = coordinator.state.broken()) breaks(*what);
       }
-      const auto replies = keeper.replies.find(i);
-      if (replies == keeper.replies.end()) continue;
+      const auto replies = coordinator.replies.find(i);
+      if (replies == coordinator.replies.end()) continue;
       for (const Reply& reply : replies->second)
         carry([this, reply, result] { answer(reply, result); }, false);
-      keeper.replies.erase(replies);
+      coordinator.replies.erase(replies);
     }
   }
 
@@ -327,53 +329,54 @@
     ++counts_.elections;
     const std::uint64_t term = ++term_;
     // What the one before had not brought to a majority may still be in the log of the new one.
-    Keeper& before = *keepers_[leaderNow_];
+    Coordinator& before = *coordinators_[leaderNow_];
     const std::size_t carried = before.proposed.empty() ? 0 : choices_.below(before.proposed.size() + 1);
     for (std::size_t i = 0; i < carried; ++i) append(before.proposed[i].command);
     for (Proposed& p : before.proposed) p.term = 0;
     leaderNow_ = k;
-    for (std::size_t other = 0; other < keepers_.size(); ++other) {
+    for (std::size_t other = 0; other < coordinators_.size(); ++other) {
       if (other == k) continue;
       const Micros hears = calm() ? 1'000 : choices_.between(0, plan_.ttl * 4 / 5);
       after(hears, [this, other, term] { stepDown(other, term); });
     }
     after(choices_.between(1'000, 20'000),
-          [this, k, term, life = keepers_[k]->life] { lead(k, term, life); });
+          [this, k, term, life = coordinators_[k]->life] { lead(k, term, life); });
   }
 
   void stepDown(std::size_t k, std::uint64_t term) {
-    Keeper& keeper = *keepers_[k];
-    if (keeper.pausedUntil > now_) return at(keeper.pausedUntil, [this, k, term] { stepDown(k, term); });
-    if (keeper.term >= term) return;
-    keeper.leading = false;
-    keeper.judge.follow();
+    Coordinator& coordinator = *coordinators_[k];
+    if (coordinator.pausedUntil > now_)
+      return at(coordinator.pausedUntil, [this, k, term] { stepDown(k, term); });
+    if (coordinator.term >= term) return;
+    coordinator.leading = false;
+    coordinator.judge.follow();
   }
 
   void lead(std::size_t k, std::uint64_t term, std::uint64_t life) {
-    Keeper& keeper = *keepers_[k];
-    if (term != term_ || life != keeper.life) return;
-    if (keeper.pausedUntil > now_)
-      return at(keeper.pausedUntil, [this, k, term, life] { lead(k, term, life); });
-    keeper.leading = true;
-    keeper.term = term;
-    keeper.judge.lead(keeper.state, clockOf(keeper));
+    Coordinator& coordinator = *coordinators_[k];
+    if (term != term_ || life != coordinator.life) return;
+    if (coordinator.pausedUntil > now_)
+      return at(coordinator.pausedUntil, [this, k, term, life] { lead(k, term, life); });
+    coordinator.leading = true;
+    coordinator.term = term;
+    coordinator.judge.lead(coordinator.state, clockOf(coordinator));
     // Its own first entry brings all that was committed before with it.
     const Index all = log_.size();
     after(choices_.between(0, calm() ? 5'000 : 300'000), [this, k, life, all] { learn(k, life, all); });
-    if (!std::exchange(keeper.ticking, true)) judge(k);
+    if (!std::exchange(coordinator.ticking, true)) judge(k);
   }
 
   void judge(std::size_t k) {
-    Keeper& keeper = *keepers_[k];
-    if (!keeper.leading) {
-      keeper.ticking = false;
+    Coordinator& coordinator = *coordinators_[k];
+    if (!coordinator.leading) {
+      coordinator.ticking = false;
       return;
     }
-    if (keeper.pausedUntil > now_) return at(keeper.pausedUntil, [this, k] { judge(k); });
-    const Micros clock = clockOf(keeper);
-    for (const Command& command : keeper.judge.due(keeper.state, clock)) propose(k, command, {});
-    const Micros left = keeper.judge.next(clock) - clock;
-    after(std::max<Micros>(1, static_cast<Micros>(static_cast<double>(left) / keeper.rate) + 1),
+    if (coordinator.pausedUntil > now_) return at(coordinator.pausedUntil, [this, k] { judge(k); });
+    const Micros clock = clockOf(coordinator);
+    for (const Command& command : coordinator.judge.due(coordinator.state, clock)) propose(k, command, {});
+    const Micros left = coordinator.judge.next(clock) - clock;
+    after(std::max<Micros>(1, static_cast<Micros>(static_cast<double>(left) / coordinator.rate) + 1),
           [this, k] { judge(k); });
   }
 
@@ -384,20 +387,21 @@
     std::vector<std::function<void()>> kinds;
     if (plan_.pauses) {
       kinds.push_back([this] {
-        Member& m = *members_[choices_.below(members_.size())];
+        SessionClient& m = *members_[choices_.below(members_.size())];
         m.pausedUntil = now_ + choices_.between(plan_.ttl / 5, plan_.ttl * 3);
         for (Act& act : m.acts) act.paused = true;
         ++counts_.pauses;
       });
       kinds.push_back([this] {
-        Keeper& k = *keepers_[choices_.below(keepers_.size())];
+        Coordinator& k = *coordinators_[choices_.below(coordinators_.size())];
         k.pausedUntil = now_ + choices_.between(plan_.ttl / 5, plan_.ttl * 2);
         ++counts_.pauses;
       });
     }
     if (plan_.elections)
       kinds.push_back([this] {
-        elect(choices_.isDrawn() ? choices_.below(keepers_.size()) : (leaderNow_ + 1) % keepers_.size());
+        elect(choices_.isDrawn() ? choices_.below(coordinators_.size())
+                                 : (leaderNow_ + 1) % coordinators_.size());
       });
     if (plan_.restores) {
       kinds.push_back([this] {
@@ -410,7 +414,7 @@
     after(choices_.between(plan_.ttl / 10, plan_.ttl * 3 / 5), [this] { fault(); });
   }
 
-  // All keepers are stopped, and come back with an older copy of their folder.
+  // All coordinators are stopped, and come back with an older copy of their folder.
   void restore() {
     ++counts_.restores;
     const auto& [index, copy] = copies_[choices_.below(copies_.size())];
@@ -419,23 +423,23 @@
     firstApplied_ = index;
     while (copies_.back().first > index) copies_.pop_back();
     ++term_;
-    for (auto& keeper : keepers_) {
-      ++keeper->life;
-      keeper->state = old;
-      keeper->judge.follow();
-      keeper->leading = false;
-      keeper->proposed.clear();
-      keeper->replies.clear();
-      keeper->learned = 0;
+    for (auto& coordinator : coordinators_) {
+      ++coordinator->life;
+      coordinator->state = old;
+      coordinator->judge.follow();
+      coordinator->leading = false;
+      coordinator->proposed.clear();
+      coordinator->replies.clear();
+      coordinator->learned = 0;
     }
     append(Raise{++wall_});
-    after(choices_.between(50'000, 300'000), [this] { elect(choices_.below(keepers_.size())); });
+    after(choices_.between(50'000, 300'000), [this] { elect(choices_.below(coordinators_.size())); });
   }
 
   void endFaults() {
     for (auto& m : members_) m->pausedUntil = std::min(m->pausedUntil, now_);
-    for (auto& k : keepers_) k->pausedUntil = std::min(k->pausedUntil, now_);
-    // Messages that are still late arrive; one keeper leads from here on.
+    for (auto& k : coordinators_) k->pausedUntil = std::min(k->pausedUntil, now_);
+    // Messages that are still late arrive; one coordinator leads from here on.
     elect(0);
     for (std::size_t i = 0; i < members_.size(); ++i) at(now_ + 1, [this, i] { wake(i); });
   }
@@ -443,7 +447,7 @@
   // ---- Acts and what must hold ----
 
   void act(std::size_t i) {
-    Member& m = *members_[i];
+    SessionClient& m = *members_[i];
     const Micros clock = clockOf(m);
     const Micros length = plan_.ttl / 20;
     for (std::size_t l = 0; l < plan_.leases; ++l) {
@@ -504,7 +508,7 @@
     for (const auto& m : members_) counts_.violations += m->holder.violations();
     // A restore ends all sessions at once, and waits before it opens others.
     if (counts_.violations > 0 && counts_.restores == 0)
-      breaks("the keepers had ended what a holder still counted on");
+      breaks("the coordinators had ended what a holder still counted on");
     for (std::size_t l = 0; l < plan_.leases; ++l) {
       bool held = false;
       for (const auto& m : members_) held = held || m->holder.holds(leaseName(l), clockOf(*m));
@@ -518,8 +522,8 @@
   Micros now_ = 0;
   std::uint64_t order_ = 0;
   std::priority_queue<Event> events_;
-  std::vector<std::unique_ptr<Keeper>> keepers_;
-  std::vector<std::unique_ptr<Member>> members_;
+  std::vector<std::unique_ptr<Coordinator>> coordinators_;
+  std::vector<std::unique_ptr<SessionClient>> members_;
   std::vector<Command> log_;
   std::uint64_t term_ = 0;
   std::size_t leaderNow_ = 0;
--- a/proofs/mutate.py
+++ b/verification/mutate.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Copies modules with every mutant of a list built in, to be picked at run time by quilltide_mutant (0: none).
 
-    mutate.py LIST SOURCES INTO FOLDER...   # LIST as proofs/leases_mutants.toml; each FOLDER of SOURCES is copied
+    mutate.py LIST SOURCES INTO FOLDER...   # LIST as verification/leases_mutants.toml; each FOLDER of SOURCES is copied
 
 Fails if a mutant's text does not stand in its file exactly once: a list that is older than the code shows.
 """
