A test waits until the cut has caught the answer before it heals the link

ForwardersTest.AnsweredButUnheardAPaiementIsNotSentAgain failed once in a full run, and 2 of 480 plays with eight at once. The partner counts an effect before it writes the answer: when the test healed the link in between, nothing had been caught, the answer passed and no notice was due. FaultProxy::caught() tells what a cut holds back, and the test waits for it. 640 plays, eight at once: none failed.

--- a/harness/fault_proxy.cpp
+++ b/harness/fault_proxy.cpp
@@ -1,6 +1,7 @@
 // The proxy's connections: two pumps each.
 #include "fault_proxy.hpp"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
@@ -62,6 +63,8 @@
     write(way);
   }
 
+  bool caught(Way way) const { return pumps_[static_cast<int>(way)].caught; }
+
  private:
   struct Chunk {
     Clock::time_point due;
@@ -235,6 +238,11 @@
   refuse(false);
 }
 
+std::size_t FaultProxy::caught(Way way) const {
+  return static_cast<std::size_t>(
+      std::count_if(links_.begin(), links_.end(), [way](const auto& link) { return link->caught(way); }));
+}
+
 void FaultProxy::reset() {
   for (const auto& link : std::set<std::shared_ptr<Link>>(links_)) link->reset();
 }
--- a/harness/fault_proxy.hpp
+++ b/harness/fault_proxy.hpp
@@ -46,7 +46,8 @@
   std::size_t connections() const { return links_.size(); }
   std::size_t passed(Way way) const { return passed_[static_cast<int>(way)]; }  // bytes, of all connections
   std::size_t caught(
-      Way way) const;
+      Way way) const;  // open connections on which a cut of this direction holds something back
+
  private:
   class Link;
   void accept();
--- a/tests/harness/forwarders_test.cpp
+++ b/tests/harness/forwarders_test.cpp
@@ -111,6 +111,8 @@
   auto client = clientOf("f1");
   hand(*client, "m0", "paiement");
   ASSERT_TRUE(until([&] { return effects.of("m0") == 1; }));
+  // The effect is counted before its answer is written: an answer that came after the cut would pass.
+  ASSERT_TRUE(until([&] { return harness.link("all->partner.http").caught(Way::back) == 1; }));
   harness.link("all->partner.http").heal();  // with a reset: it was caught by the cut
   EXPECT_TRUE(until([&] { return directory.notices().contains("m0"); })) << harness.timeline().text();
   EXPECT_EQ(directory.notices().at("m0").outcome, "given_up");
