A change is in force 6 s after discovery can be reached, whatever failed before

Worked out by reading: an attempt had 5 s, a large fleet's next ask came up to 8 s after its last and the back-off added up to 1.6 s; after SIGHUP a first failure at the new address was left to that spread too, though a new address binds after 4 s, and a process that had not asked yet went on by its own turn.

directory/watch_schedule decides when the watch is opened and how long each step may take, without I/O or clock; the module asks again 4.4 s after a failed ask at most. After a new address its failures are retried for 4 s without the module.

watch_schedule_test plays eight failures at every offset with nine fleets, in virtual time: 5.3 s in the worst case with 1 s for the answer. With the earlier times it fails (60 s between asks, 5 s an attempt). discovery_faults_test meets ten failures over sockets with 30 forwarders at once; with the earlier times 7 of 10 miss the 4 s after a new address.

--- a/src/directory/discovery.hpp
+++ b/src/directory/discovery.hpp
@@ -1,5 +1,5 @@
-// The platform's side: the watch on the list of targets, and the notices about messages that ended
-// undelivered.
+// The connection to the platform: the watch on the list of targets, and the notices about messages that ended
+// undelivered. When the watch is opened and given up is decided in directory/watch_schedule.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -7,13 +7,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
 #include "clock/alarm.hpp"
 #include "config/platform.hpp"
 #include "directory/notices.hpp"
+#include "directory/watch_schedule.hpp"
 #include "engine/ports.hpp"
 
 namespace quilltide::net {
@@ -36,22 +36,23 @@
   struct Watch;
 
   void stopWatching();
+  void openIn(std::chrono::milliseconds delay);
   void open();
   void readMore();
-  void guard(std::chrono::milliseconds within);
+  Directory nothingNew() const;
+  void readLines(const std::shared_ptr<Watch>& watch);
+  void expectLifeWithin(std::chrono::milliseconds time);
   void lost(const char* why);
+  void goOn(const WatchSchedule::Next& next, const char* why);
 
   boost::asio::io_context& io_;
   tcp::endpoint address_;
   Names names_;
   OnDirectory directory_;
   std::int64_t rev_;
-  bool wanted_ = false;  // the last word on the watch, the module's or where lists are pushed the engine's
-  bool delayed_ = false;
-  int failures_ = 0;
-  int silent_ = 0;  // watches in a row that fell silent
-  std::mt19937_64 random_;
-  int retryMs_, retryMostMs_;  // the first wait before the watch is tried again, and the longest
+  bool wanted_ = false;   // the last word on the watch, the module's or where lists are pushed the engine's
+  bool delayed_ = false;  // it is to be opened after a pause
+  WatchSchedule schedule_;
   std::shared_ptr<Watch> watch_;
   clocks::Alarm delay_;
   Notices notices_;
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -48,6 +48,8 @@
   void subscribe(OnEnd end) { subscribers_.push_back(std::move(end)); }
   const Journal& ledger() const { return journal_; }
   const Names& names() const { return names_; }
+  // Messages for this destination are taken on: it has a target in the list in force, or had one lately.
+  bool knows(std::int64_t destination) const { return destinations_.contains(destination); }
 
   // From upstreams. A call whose connection is up asks which of its messages may still leave, right before
   // its first byte; those are on disk as out when this returns.
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -24,9 +24,11 @@
 constexpr int kFewSenders = 4;       // learn fast enough alone, and fill no table; more are a large fleet
 constexpr double kAskEach = 80'000;  // microseconds of a directory's time for one call
 constexpr double kAskShare = 0.8;    // of the time that may pass without an ask
-constexpr double kProvenGap = 0.5;   // trials at least so many aims apart where a failed one costs no call
-constexpr double kJitter = 0.2;      // spread of open times, so that senders' trials do not fall together
-constexpr double kOverdue = 6;       // calls older than this many usual durations are judged before they end
+constexpr double kAskAgain = 4.4e6;  // microseconds from an ask that failed to the next, at most,
+constexpr double kAskAgainLeast = 0.55;  // and the least part of it
+constexpr double kProvenGap = 0.5;  // trials at least so many aims apart where a failed one costs no call
+constexpr double kJitter = 0.2;     // spread of open times, so that senders' trials do not fall together
+constexpr double kOverdue = 6;      // calls older than this many usual durations are judged before they end
 constexpr double kLeastOverdueAims = 0.1;  // but none before so many aims: below that a busy machine speaks
 constexpr double kTimeoutUsual = 12;       // a time-out lies well past overdue: it throws work away
 constexpr double kTimeoutAims = 2;         // and past this many aims, for late is still worth something
@@ -38,9 +40,8 @@
 constexpr double kAskedWarmUps = 4;  // messages count for a destination's usual traffic over so many warm-ups
 constexpr double kPaceCut = 0.85;    // pace after a refusal, of what was taken lately
 constexpr double kFullCut = 0.75;    // tickets after a full queue where there is no limit
-// In a large fleet, where each sender learns from a call now and then what hundreds share:
-// The pace is a share of what comes for it, so that it holds as what comes is known better, and rises and
-// falls with it.
+// In a large fleet each sender learns from a call now and then what hundreds share. The pace is a share of
+// what comes for it, so that it holds as that is known better, and rises and falls with it.
 constexpr double kShareCut = 0.6;        // share after each refused call, of the share before
 constexpr double kBatchCut = 0.4;        // where calls carry several: those held go with the next one
 constexpr double kCrowdedCut = 0.85;     // and after one that found no place for its connection
@@ -113,7 +114,8 @@
     if (s_.directoryOnRequest && !watching_ && now_ >= nextWatch_) {
       out_.push_back(Watch{true});
       nextWatch_ = now_ + std::max({s_.askWithin / 10, s_.period, spreadAsk(0.5)});
-      asked_ = true;
+      if (!asking_) askedAt_ = now_;
+      asked_ = asking_ = true;
     }
     endOverdueMessages();
     judgeOverdueCalls();
@@ -147,18 +149,15 @@
   }
 
  private:
-  // One service tells the list to all and works through their calls in turn, those too whose callers have
-  // given up: a fleet that asks all at once, or again too soon, keeps it busy for nobody. So the asks are
-  // spread over what such a service needs for one call of each, within the time that the settings allow
-  // without one. What is known serves meanwhile; a single newcomer of a large fleet waits for its list for
-  // nothing.
+  // The directory works through all senders' calls in turn, those too whose callers have given up: a fleet
+  // that asks all at once keeps it busy for nobody. So the asks are spread over what it needs for one call of
+  // each, within the time that the settings allow without one. What is known serves meanwhile.
   Micros spreadAsk(double least) {
     if (!large()) return 0;
     const double all = std::min(kAskEach * (s_.fleetSize - kFewSenders),
                                 kAskShare * static_cast<double>(std::max<Micros>(0, s_.askWithin)));
     return static_cast<Micros>((least + (1 - least) * random_.uniform()) * all);
   }
-  // Each sees few calls, and what one may do all must not do at once.
   bool large() const { return s_.fleetSize > kFewSenders; }
 
   // ---- Events ----
@@ -232,8 +231,12 @@
   }
 
   void on(const DirectoryView& v) {
+    asking_ = false;
     if (v.scope == ViewScope::refused) {
       watching_ = false;
+      // What the directory has binds 6 s after it can be reached, whatever failed before.
+      const double part = large() ? kAskAgainLeast + (1 - kAskAgainLeast) * random_.uniform() : 1;
+      nextWatch_ = std::min(nextWatch_, askedAt_ + static_cast<Micros>(part * kAskAgain));
       return;
     }
     if (asked_) watching_ = true;
@@ -611,9 +614,8 @@
   }
 
   // A limit that many share, where refused calls may use it up: with a little more than it allows nobody has
-  // a call taken, so each refusal counts at once, and the way back is slow near the pace that was refused. It
-  // guards against the fleet's standing in its own way; where refused calls cost nothing, some of the limit
-  // stays unused.
+  // a call taken, so each refusal counts at once, and the way back is slow near the pace that was refused.
+  // Where refused calls cost nothing, some of the limit stays unused.
   double listedShare(const Lane& lane) const { return kErrorShare * lane.rating / s_.fleetSize; }
   bool sharesLimit(const Lane& lane) const { return large() && !lane.unlimited; }
   double wantedRate(const Lane& lane) const {
@@ -794,8 +796,8 @@
     }
   }
 
-  // Slowness everywhere is no destination's fault: how long most of this sender's last calls ran, anywhere,
-  // over their usual time stretches what is overdue. It could hide a hang of most destinations for a while.
+  // Slowness everywhere is no destination's fault: how long most of this sender's last calls ran over their
+  // usual time stretches what is overdue. It could hide a hang of most destinations for a while.
   double slownessOfAll() const {
     return recent_.empty() || now_ - recent_.back().first > static_cast<Micros>(window_) ? 1 : stretch_;
   }
@@ -811,7 +813,7 @@
   }
 
   // Hangs show here: a call that runs far longer than usual counts as an error before it times out. When
-  // later ones were answered it is lost, and called off where its messages may go again, or such calls fill
+  // later ones were answered it is lost, and cancelled where its messages may go again, or such calls fill
   // the slots. Each attempt is given twice the time of the one before, for long messages.
   void judgeOverdueCalls() {
     const double stretch = slownessOfAll();
@@ -856,11 +858,10 @@
   }
 
   // Messages that may not go again are waited for until their end, long after the others of their call timed
-  // out, and so keep its place. Past that time-out, or once overdue where calls get lost, the call is hung:
-  // it has given its ticket back, or one silence would stop all calls there for as long as the last such
-  // message lives. Where hung calls hold every place that the bulkhead or the slots allow, the oldest is
-  // given up for the call that is due. This guards against hangs, dead connections and slow destinations
-  // alike; it does harm where an answer would still come after so long, by one call's messages for each new
+  // out. Past that time-out, or once overdue where calls get lost, the call is hung: it has given its ticket
+  // back, or one silence would stop all calls there for as long as the last such message lives. Where hung
+  // calls hold every place that the bulkhead or the slots allow, the oldest is given up for the call that is
+  // due. It does harm where an answer would still come after so long, by one call's messages for each new
   // call.
   void giveUpHung() {
     std::set<const Lane*> leaving;
@@ -1082,8 +1083,9 @@
   Settings s_;
   Random random_;
   double aim_ = 1, window_ = 1, firstPause_ = 1;
-  Micros startedAt_ = -1, endsAt_ = kNever, pump_ = 1, now_ = 0, wakeAt_ = 0, nextWatch_ = 0;
-  bool watching_ = false, asked_ = false;
+  Micros startedAt_ = -1, endsAt_ = kNever, pump_ = 1, now_ = 0, wakeAt_ = 0, nextWatch_ = 0,
+         askedAt_ = -kNever;
+  bool watching_ = false, asked_ = false, asking_ = false;
   Fading allCalls_, losses_;
   std::deque<std::pair<Micros, double>> recent_;  // the last calls: when they ended, how slow they were
   double stretch_ = 1;
