Session client: report each request that the leader did not answer

The log of a member that lost its lease did not show which coordinators it had asked. SessionClient::Settings has a callback for failed requests (coordinator, status, named leader, next coordinator); the lease test client prints it.

--- a/harness/lease_test_client.cpp
+++ b/harness/lease_test_client.cpp
@@ -56,6 +56,11 @@
   settings.leaseClient.maxClockDrift = maxClockDrift;
   settings.leaseClient.requestTimeout = std::max<Micros>(settings.leaseClient.ttl / 4, 100'000);
   settings.coordinators = parseCoordinators(coordinators);
+  settings.onRequestFailure = [](const SessionClient::RequestFailure& failure) {
+    std::cout << "request failed at coordinator " << failure.coordinator << ", status " << failure.status
+              << ", named leader " << failure.namedLeader << ", next coordinator " << failure.nextCoordinator
+              << std::endl;
+  };
   std::map<std::string, std::unique_ptr<LeaseWorker>> workers;
   for (const std::string& lease : leases) workers[lease] = std::make_unique<LeaseWorker>(io);
   std::function<void(const std::string&)> startOperation, releaseLease;
--- a/src/fleet/session_client/session_client.cpp
+++ b/src/fleet/session_client/session_client.cpp
@@ -164,7 +164,13 @@
     const Result result = resultFromJson(body);
     leaseClient_.handleResult(requestId, result, clocks::bootNow());
   } catch (const std::exception&) {
+    const std::uint64_t asked = settings_.coordinators[currentCoordinator_].id;
+    const std::uint64_t namedLeader =
+        body.is_object() && body.contains("leader") ? numberIn(body.at("leader"), "id") : 0;
     switchCoordinator(body);
+    if (settings_.onRequestFailure)
+      settings_.onRequestFailure(
+          {asked, status, namedLeader, settings_.coordinators[currentCoordinator_].id});
     leaseClient_.handleFailure(requestId, clocks::bootNow());
   }
   process();
--- a/src/fleet/session_client/session_client.hpp
+++ b/src/fleet/session_client/session_client.hpp
@@ -32,9 +32,17 @@
 // requests, reads, and a long poll while it waits for a lease.
 class SessionClient {
  public:
+  // A request that was not answered by the leading coordinator.
+  struct RequestFailure {
+    std::uint64_t coordinator = 0;      // id of the coordinator that was asked
+    int status = 0;                     // HTTP status; 0: no response within the timeout
+    std::uint64_t namedLeader = 0;      // id of the leader that the response names; 0: none
+    std::uint64_t nextCoordinator = 0;  // id of the coordinator to be asked next
+  };
   struct Settings {
     LeaseClient::Settings leaseClient;  // an empty nonce is replaced by a random one
     std::vector<CoordinatorAddress> coordinators;
+    std::function<void(const RequestFailure&)> onRequestFailure;  // for logs; may be empty
   };
   using OnEvent = std::function<void(const LeaseClient::Event&)>;
   SessionClient(boost::asio::io_context& io, Settings settings, OnEvent onEvent);
