Leases: a holder finds the next leading coordinator within a stated bound

Change: LeaseClient pauses for at most a tenth of what is left of the term, and failed commands do not delay renewals. CoordinatorSelector (new, no I/O) counts failures by coordinator and asks each other one at most once before the leader. Reads answered with 400 or 404 no longer move away from a leader.

--- a/src/fleet/lease_client/lease_client.cpp
+++ b/src/fleet/lease_client/lease_client.cpp
@@ -6,6 +6,8 @@
 namespace quilltide::fleet {
 namespace {
 
+constexpr Micros kRetryPausesPerRemainingTerm = 10;
+
 template <class... F>
 struct Overloaded : F... {
   using F::operator()...;
@@ -84,7 +86,7 @@
   wantedLeases_.clear();
   awaitedLeases_.clear();
   heldLeases_.clear();
-  renewalInFlight_.reset();
+  renewal_.inFlight.reset();
   if (sessionId_ != 0) commandQueue_.push_back({CloseSession{0}, 0});
 }
 
@@ -128,42 +130,47 @@
 
 // ---- Requests to the coordinators ----
 
-void LeaseClient::backOff(Micros now) {
-  retryPause_ = std::clamp(retryPause_ * 2, settings_.minRetryPause, settings_.maxRetryPause);
-  const Micros at = now + retryPause_ / 2 + jitter(retryPause_ / 2 + 1);
-  nextControlAt_ = std::max(nextControlAt_, at);
-  nextRenewalAt_ = std::max(nextRenewalAt_, at);
+Micros LeaseClient::longestRetryPause(Micros now) const {
+  const Micros remaining = sessionId_ == 0 ? 0 : sessionValidUntil_ - now;
+  if (remaining <= 0) return settings_.maxRetryPause;
+  return std::clamp(remaining / kRetryPausesPerRemainingTerm, settings_.minRetryPause,
+                    settings_.maxRetryPause);
+}
+
+void LeaseClient::backOff(RequestSlot& slot, Micros now) {
+  slot.retryPause = std::clamp(slot.retryPause * 2, settings_.minRetryPause, longestRetryPause(now));
+  const Micros at = now + slot.retryPause / 2 + jitter(slot.retryPause / 2 + 1);
+  slot.nextAt = std::max(slot.nextAt, at);
+  // Commands wait for renewals, never the other way round: a renewal is what keeps the leases.
+  if (&slot == &renewal_) control_.nextAt = std::max(control_.nextAt, at);
 }
 
 std::vector<LeaseClient::Request> LeaseClient::takeRequests(Micros now) {
-  for (auto* out : {&renewalInFlight_, &controlInFlight_}) {
-    if (*out && now - (*out)->sent >= settings_.requestTimeout) {
-      out->reset();
-      backOff(now);
-    }
+  for (RequestSlot* slot : {&renewal_, &control_}) {
+    if (!slot->inFlight || now - slot->inFlight->sent < settings_.requestTimeout) continue;
+    slot->inFlight.reset();
+    backOff(*slot, now);
   }
   std::vector<Request> requests;
-  const auto send = [&](std::optional<InFlightRequest>& slot, Command command) {
-    slot = InFlightRequest{++lastRequestId_, now};
+  const auto send = [&](RequestSlot& slot, Command command) {
+    slot.inFlight = InFlightRequest{++lastRequestId_, now};
     requests.push_back({lastRequestId_, std::move(command)});
   };
   if (sessionId_ == 0) {
     if (closing_) {
       commandQueue_.clear();
-    } else if (!controlInFlight_ && now >= nextControlAt_) {
+    } else if (!control_.inFlight && now >= control_.nextAt) {
       if (openFirstSentAt_ == 0) {
         openFirstSentAt_ = now;
         ++sessionsOpened_;
       }
-      send(controlInFlight_,
-           OpenSession{settings_.memberName, settings_.nonce + "-" + std::to_string(sessionsOpened_),
-                       settings_.ttl});
+      send(control_, OpenSession{settings_.memberName,
+                                 settings_.nonce + "-" + std::to_string(sessionsOpened_), settings_.ttl});
     }
     return requests;
   }
-  if (!renewalInFlight_ && !closing_ && now >= nextRenewalAt_)
-    send(renewalInFlight_, RenewSessions{{sessionId_}});
-  if (!controlInFlight_ && !commandQueue_.empty() && now >= nextControlAt_) {
+  if (!renewal_.inFlight && !closing_ && now >= renewal_.nextAt) send(renewal_, RenewSessions{{sessionId_}});
+  if (!control_.inFlight && !commandQueue_.empty() && now >= control_.nextAt) {
     Command& command = commandQueue_.front().command;
     // Numbered on the first attempt, so that request numbers follow the order of the queue.
     std::visit(
@@ -174,34 +181,34 @@
           }
         },
         command);
-    send(controlInFlight_, command);
+    send(control_, command);
   }
   return requests;
 }
 
 void LeaseClient::handleFailure(std::uint64_t id, Micros now) {
-  for (auto* out : {&renewalInFlight_, &controlInFlight_}) {
-    if (!*out || (*out)->id != id) continue;
-    out->reset();
-    backOff(now);
+  for (RequestSlot* slot : {&renewal_, &control_}) {
+    if (!slot->inFlight || slot->inFlight->id != id) continue;
+    slot->inFlight.reset();
+    backOff(*slot, now);
   }
 }
 
-void LeaseClient::renewSoon(Micros now) { nextRenewalAt_ = std::min(nextRenewalAt_, now); }
+void LeaseClient::renewSoon(Micros now) { renewal_.nextAt = std::min(renewal_.nextAt, now); }
 
 bool LeaseClient::isWaiting() const { return sessionId_ != 0 && !awaitedLeases_.empty(); }
 
 void LeaseClient::handleResult(std::uint64_t id, const Result& result, Micros now) {
-  if (renewalInFlight_ && renewalInFlight_->id == id) {
-    const Micros sent = renewalInFlight_->sent;
-    renewalInFlight_.reset();
-    retryPause_ = 0;
+  if (renewal_.inFlight && renewal_.inFlight->id == id) {
+    const Micros sent = renewal_.inFlight->sent;
+    renewal_.inFlight.reset();
+    renewal_.retryPause = control_.retryPause = 0;  // the leader has been found
     if (result.renewals.empty() || result.renewals.front().session != sessionId_) return;
     handleRenewal(result.renewals.front(), result.index, sent, now);
-  } else if (controlInFlight_ && controlInFlight_->id == id) {
-    const Micros sent = controlInFlight_->sent;
-    controlInFlight_.reset();
-    retryPause_ = 0;
+  } else if (control_.inFlight && control_.inFlight->id == id) {
+    const Micros sent = control_.inFlight->sent;
+    control_.inFlight.reset();
+    renewal_.retryPause = control_.retryPause = 0;  // the leader has been found
     handleControlResult(result, sent, now);
   }
 }
@@ -212,7 +219,7 @@
   lastRenewalIndex_ = index;
   const Micros period =
       static_cast<Micros>(static_cast<double>(settings_.ttl) * settings_.renewAfterTermShare);
-  nextRenewalAt_ = sent + period - jitter(period / 8 + 1);
+  renewal_.nextAt = sent + period - jitter(period / 8 + 1);
   const Micros validUntil = sent + safeTerm();
   sessionValidUntil_ = std::max(sessionValidUntil_, validUntil);
   std::set<std::string> listed;
@@ -265,7 +272,7 @@
 
 void LeaseClient::handleControlResult(const Result& result, Micros sent, Micros now) {
   if (sessionId_ == 0) {
-    if (result.code != ResultCode::ok) return backOff(now);
+    if (result.code != ResultCode::ok) return backOff(control_, now);
     static_cast<void>(sent);
     sessionId_ = result.session;
     lastRequestNumber_ = 0;
@@ -273,7 +280,7 @@
     // An earlier attempt may have opened the session, so the term starts at the first one.
     sessionValidUntil_ = openFirstSentAt_ + safeTerm();
     openFirstSentAt_ = 0;
-    nextRenewalAt_ = now;
+    renewal_.nextAt = now;
     events_.push_back({Event::Kind::sessionOpened, "", 0, 0, 0, {}});
     return;
   }
@@ -293,7 +300,7 @@
                      }
                    } else if (result.code != ResultCode::waiting) {
                      enqueueAcquire(c.lease);  // retried after a pause
-                     backOff(now);
+                     backOff(control_, now);
                    }
                  },
                  [&](const ReleaseLease& c) {
@@ -317,8 +324,8 @@
 // Handles the end of the session at the coordinators: all leases are lost and requested again.
 void LeaseClient::loseSession(Micros now) {
   sessionId_ = 0;
-  renewalInFlight_.reset();
-  controlInFlight_.reset();
+  renewal_.inFlight.reset();
+  control_.inFlight.reset();
   openFirstSentAt_ = 0;
   releaseIndexes_.clear();
   std::vector<QueuedCommand> puts;
@@ -344,13 +351,13 @@
   Micros at = now + settings_.maxRetryPause;
   const auto wakeBy = [&](Micros when) { at = std::min(at, std::max(when, now + 1)); };
   if (!events_.empty()) return now;
-  for (const auto* out : {&renewalInFlight_, &controlInFlight_})
-    if (*out) wakeBy((*out)->sent + settings_.requestTimeout);
+  for (const RequestSlot* slot : {&renewal_, &control_})
+    if (slot->inFlight) wakeBy(slot->inFlight->sent + settings_.requestTimeout);
   if (sessionId_ == 0) {
-    if (!closing_ && !controlInFlight_) wakeBy(nextControlAt_);
+    if (!closing_ && !control_.inFlight) wakeBy(control_.nextAt);
   } else {
-    if (!renewalInFlight_ && !closing_) wakeBy(nextRenewalAt_);
-    if (!controlInFlight_ && !commandQueue_.empty()) wakeBy(nextControlAt_);
+    if (!renewal_.inFlight && !closing_) wakeBy(renewal_.nextAt);
+    if (!control_.inFlight && !commandQueue_.empty()) wakeBy(control_.nextAt);
   }
   const auto warn = static_cast<Micros>(static_cast<double>(settings_.ttl) * settings_.warnAtTermShareLeft);
   for (const auto& [lease, held] : heldLeases_) {
--- a/src/fleet/lease_client/lease_client.hpp
+++ b/src/fleet/lease_client/lease_client.hpp
@@ -33,8 +33,9 @@
     double renewAfterTermShare = 1.0 / 3;  // share of the term after which it is renewed
     double warnAtTermShareLeft = 1.0 / 3;  // remaining share at which leaseExpiring is reported
     Micros requestTimeout = 1'000'000;     // unanswered requests are sent again after this
-    Micros minRetryPause = 50'000,
-           maxRetryPause = 1'000'000;  // doubles with each failure
+    // The pause before a retry doubles with each failure. It is at most a tenth of what is left of the
+    // session's term, so that a new leader is found before the term ends, see docs/design/leases.md.
+    Micros minRetryPause = 50'000, maxRetryPause = 1'000'000;
     std::uint64_t jitterSeed = 1;
   };
   explicit LeaseClient(const Settings& settings);
@@ -95,7 +96,7 @@
   SessionId session() const { return sessionId_; }
   // Log entry up to which the held leases are known.
   LogIndex lastRenewalIndex() const { return lastRenewalIndex_; }
-  bool isClosed() const { return closing_ && commandQueue_.empty() && !controlInFlight_; }
+  bool isClosed() const { return closing_ && commandQueue_.empty() && !control_.inFlight; }
   // Number of leases that the coordinators ended while they were still valid by this clock, after a restore
   // or with a clock that is off by more than `maxClockDrift`.
   std::size_t prematureLosses() const { return prematureLosses_; }
@@ -115,6 +116,12 @@
     std::uint64_t id = 0;
     Micros sent = 0;
   };
+  // One kind of request: at most one is in flight, and failures delay the next one.
+  struct RequestSlot {
+    std::optional<InFlightRequest> inFlight;
+    Micros nextAt = 0;      // earliest time of the next request
+    Micros retryPause = 0;  // after the last failure; 0 after a result
+  };
   Micros safeTerm() const;
   void enqueueAcquire(const std::string& lease);
   void loseSession(Micros now);
@@ -123,7 +130,8 @@
   void handleRenewal(const RenewalResult& renewal, LogIndex index, Micros sent, Micros now);
   void handleControlResult(const Result& result, Micros sent, Micros now);
   bool releasePending(const std::string& lease) const;  // unanswered release or transfer
-  void backOff(Micros now);
+  Micros longestRetryPause(Micros now) const;
+  void backOff(RequestSlot& slot, Micros now);
   Micros jitter(Micros bound);
 
   Settings settings_;
@@ -133,9 +141,7 @@
   Micros openFirstSentAt_ = 0;        // first attempt to open the session; 0: none in progress
   Micros sessionValidUntil_ = 0;
   LogIndex lastRenewalIndex_ = 0;
-  Micros nextRenewalAt_ = 0, nextControlAt_ = 0;
-  Micros retryPause_ = 0;
-  std::optional<InFlightRequest> renewalInFlight_, controlInFlight_;
+  RequestSlot renewal_, control_;
   std::deque<QueuedCommand> commandQueue_;
   std::uint64_t lastRequestId_ = 0, lastRequestNumber_ = 0, lastPutNumber_ = 0;
   std::map<std::string, bool> wantedLeases_;  // value: recallHolder
--- a/src/fleet/session_client/session_client.cpp
+++ b/src/fleet/session_client/session_client.cpp
@@ -20,6 +20,19 @@
 constexpr auto kPollWait = milliseconds(20'000), kPollTimeoutMargin = milliseconds(3'000),
                kPollRetryPause = milliseconds(200);
 
+constexpr int kNoResponse = 0, kMisdirectedRequest = 421, kFirstServerError = 500;
+
+// Whether a response to a read means that another coordinator should be asked.
+bool isCoordinatorFailure(int status) {
+  return status == kNoResponse || status == kMisdirectedRequest || status >= kFirstServerError;
+}
+
+std::vector<std::uint64_t> idsOf(const std::vector<CoordinatorAddress>& coordinators) {
+  std::vector<std::uint64_t> ids;
+  for (const CoordinatorAddress& coordinator : coordinators) ids.push_back(coordinator.id);
+  return ids;
+}
+
 }  // namespace
 
 std::vector<CoordinatorAddress> parseCoordinators(const std::string& text) {
@@ -58,13 +71,14 @@
       }()),
       onEvent_(std::move(onEvent)),
       leaseClient_(settings_.leaseClient),
+      selector_(idsOf(settings_.coordinators),
+                settings_.leaseClient.jitterSeed % settings_.coordinators.size()),
       renewalCall_(io),
       controlCall_(io),
-      watchCall_(io),
       readCall_(io),
+      watchCall_(io),
       processTimer_(io),
-      watchRetryTimer_(io),
-      currentCoordinator_(settings_.leaseClient.jitterSeed % settings_.coordinators.size()) {}
+      watchRetryTimer_(io) {}
 
 SessionClient::~SessionClient() { *alive_ = false; }
 
@@ -148,44 +162,44 @@
   });
 }
 
-void SessionClient::send(JsonCall& connection, const LeaseClient::Request& request) {
-  connection.cancel();  // a previous request has timed out
-  const CommandRequest wire = requestFromCommand(request.command);
+void SessionClient::send(CoordinatorCall& call, const LeaseClient::Request& request) {
   const milliseconds timeout(settings_.leaseClient.requestTimeout / 1'000);
-  connection.call(coordinator(), wire.path, &wire.body, timeout,
-                  [this, alive = alive_, requestId = request.id](int status, const nlohmann::json& body) {
-                    if (*alive) handleResponse(requestId, status, body);
-                  });
+  // The lease client may notice a timeout before the connection does.
+  if (call.connection.busy() && std::chrono::steady_clock::now() >= call.deadline)
+    handleCoordinatorFailure(call.coordinator, kNoResponse, {});
+  call.connection.cancel();
+  call.coordinator = selector_.current();
+  call.deadline = std::chrono::steady_clock::now() + timeout;
+  const CommandRequest wire = requestFromCommand(request.command);
+  call.connection.call(
+      addressOf(call.coordinator), wire.path, &wire.body, timeout,
+      [this, alive = alive_, &call, requestId = request.id](int status, const nlohmann::json& body) {
+        if (*alive) handleResponse(call, requestId, status, body);
+      });
 }
 
-void SessionClient::handleResponse(std::uint64_t requestId, int status, const nlohmann::json& body) {
+void SessionClient::handleResponse(const CoordinatorCall& call, std::uint64_t requestId, int status,
+                                   const nlohmann::json& body) {
   try {
     if (status != 200) throw std::runtime_error("request failed");
     const Result result = resultFromJson(body);
+    selector_.recordSuccess(call.coordinator);
     leaseClient_.handleResult(requestId, result, clocks::bootNow());
   } catch (const std::exception&) {
-    const std::uint64_t asked = settings_.coordinators[currentCoordinator_].id;
-    const std::uint64_t namedLeader =
-        body.is_object() && body.contains("leader") ? numberIn(body.at("leader"), "id") : 0;
-    switchCoordinator(body);
-    if (settings_.onRequestFailure)
-      settings_.onRequestFailure(
-          {asked, status, namedLeader, settings_.coordinators[currentCoordinator_].id});
+    handleCoordinatorFailure(call.coordinator, status, body);
     leaseClient_.handleFailure(requestId, clocks::bootNow());
   }
   process();
 }
 
-void SessionClient::switchCoordinator(const nlohmann::json& body) {
-  if (body.is_object() && body.contains("leader")) {
-    const std::uint64_t id = numberIn(body.at("leader"), "id");
-    for (std::size_t i = 0; i < settings_.coordinators.size(); ++i) {
-      if (settings_.coordinators[i].id != id || i == currentCoordinator_) continue;
-      currentCoordinator_ = i;
-      return;
-    }
-  }
-  currentCoordinator_ = (currentCoordinator_ + 1) % settings_.coordinators.size();
+void SessionClient::handleCoordinatorFailure(std::size_t coordinator, int status,
+                                             const nlohmann::json& body) {
+  const std::uint64_t namedLeader =
+      body.is_object() && body.contains("leader") ? numberIn(body.at("leader"), "id") : 0;
+  selector_.recordFailure(coordinator, namedLeader);
+  if (settings_.onRequestFailure)
+    settings_.onRequestFailure(
+        {selector_.idOf(coordinator), status, namedLeader, selector_.idOf(selector_.current())});
 }
 
 void SessionClient::read(const std::string& target, JsonCall::OnResponse onResponse) {
@@ -194,20 +208,22 @@
 }
 
 void SessionClient::sendNextRead() {
-  if (pendingReads_.empty() || readCall_.busy()) return;
+  if (pendingReads_.empty() || readCall_.connection.busy()) return;
   ++pendingReads_.front().attempts;
   const milliseconds timeout(settings_.leaseClient.requestTimeout / 1'000);
-  readCall_.call(coordinator(), pendingReads_.front().target, nullptr, timeout,
-                 [this, alive = alive_](int status, const nlohmann::json& body) {
-                   if (!*alive) return;
-                   if (status != 200) switchCoordinator(body);
-                   if (status == 200 || pendingReads_.front().attempts >= kMaxReadAttempts) {
-                     const auto onResponse = std::move(pendingReads_.front().onResponse);
-                     pendingReads_.pop_front();
-                     onResponse(status, body);
-                   }
-                   if (*alive) sendNextRead();
-                 });
+  readCall_.coordinator = selector_.current();
+  readCall_.connection.call(addressOf(readCall_.coordinator), pendingReads_.front().target, nullptr, timeout,
+                            [this, alive = alive_](int status, const nlohmann::json& body) {
+                              if (!*alive) return;
+                              if (isCoordinatorFailure(status))
+                                handleCoordinatorFailure(readCall_.coordinator, status, body);
+                              if (status == 200 || pendingReads_.front().attempts >= kMaxReadAttempts) {
+                                const auto onResponse = std::move(pendingReads_.front().onResponse);
+                                pendingReads_.pop_front();
+                                onResponse(status, body);
+                              }
+                              if (*alive) sendNextRead();
+                            });
 }
 
 void SessionClient::watchChanges() {
@@ -217,7 +233,7 @@
   const std::string target = "/v1/changes?session=" + std::to_string(watchedSession_) +
                              "&after=" + std::to_string(lastSeenChange_) +
                              "&wait_ms=" + std::to_string(kPollWait.count());
-  watchCall_.call(coordinator(), target, nullptr, kPollWait + kPollTimeoutMargin,
+  watchCall_.call(addressOf(selector_.current()), target, nullptr, kPollWait + kPollTimeoutMargin,
                   [this, alive = alive_](int status, const nlohmann::json& body) {
                     if (!*alive) return;
                     const LogIndex changed = status == 200 ? numberIn(body, "changed") : 0;
--- a/src/fleet/session_client/session_client.hpp
+++ b/src/fleet/session_client/session_client.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/lease_client/coordinator_selector.hpp"
 #include "fleet/lease_client/lease_client.hpp"
 #include "fleet/link/json_call.hpp"
 
@@ -74,21 +75,32 @@
  private:
   void process();  // sends due requests and reports events
   void scheduleProcess();
-  void send(JsonCall& connection, const LeaseClient::Request& request);
-  void handleResponse(std::uint64_t requestId, int status, const nlohmann::json& body);
-  // Switches to the leader that a response names, or else to the next coordinator.
-  void switchCoordinator(const nlohmann::json& body);
+  // Connection for one kind of request, and the coordinator that the last one was sent to.
+  struct CoordinatorCall {
+    explicit CoordinatorCall(boost::asio::io_context& io) : connection(io) {}
+    JsonCall connection;
+    std::size_t coordinator = 0;  // index
+    std::chrono::steady_clock::time_point deadline;
+  };
+  void send(CoordinatorCall& call, const LeaseClient::Request& request);
+  void handleResponse(const CoordinatorCall& call, std::uint64_t requestId, int status,
+                      const nlohmann::json& body);
+  // The coordinator did not answer (`status` 0) or is not the leader.
+  void handleCoordinatorFailure(std::size_t coordinator, int status, const nlohmann::json& body);
   void watchChanges();
   void sendNextRead();
-  const tcp::endpoint& coordinator() const { return settings_.coordinators[currentCoordinator_].http; }
+  const tcp::endpoint& addressOf(std::size_t coordinator) const {
+    return settings_.coordinators[coordinator].http;
+  }
 
   boost::asio::io_context& io_;
   Settings settings_;
   OnEvent onEvent_;
   LeaseClient leaseClient_;
-  JsonCall renewalCall_, controlCall_, watchCall_, readCall_;
+  CoordinatorSelector selector_;
+  CoordinatorCall renewalCall_, controlCall_, readCall_;
+  JsonCall watchCall_;
   boost::asio::steady_timer processTimer_, watchRetryTimer_;
-  std::size_t currentCoordinator_ = 0;
   LogIndex lastSeenChange_ = 0;  // last change of the watched session that a long poll returned
   SessionId watchedSession_ = 0;
   bool watchPaused_ = false, processScheduled_ = false;
--- a/verification/leases_model.cpp
+++ b/verification/leases_model.cpp
@@ -21,7 +21,8 @@
 
 struct Totals {
   std::size_t schedules = 0, steps = 0, grants = 0, operations = 0, elections = 0, restores = 0, pauses = 0,
-              lostMessages = 0, duplicatedMessages = 0, fencedWrites = 0, rejectedWrites = 0;
+              lostMessages = 0, duplicatedMessages = 0, fencedWrites = 0, rejectedWrites = 0,
+              guaranteedLeases = 0;
   Micros longestWithoutHolder = 0;
   void add(const Counts& c) {
     ++schedules;
@@ -35,12 +36,31 @@
     duplicatedMessages += c.duplicatedMessages;
     fencedWrites += c.fencedWrites;
     rejectedWrites += c.rejectedWrites;
+    guaranteedLeases += c.guaranteedLeases;
     longestWithoutHolder = std::max(longestWithoutHolder, c.longestWithoutHolder);
   }
 };
 
+// The leader fails and no message is lost: holders with enough of their terms left keep their leases.
+Plan failoverPlan(std::uint64_t number) {
+  Plan p;
+  p.failover = true;
+  p.pauses = p.elections = p.restores = false;
+  p.members = 2 + number / 6 % 4;
+  p.leases = 2;
+  p.coordinators = number / 6 % 3 == 0 ? 5 : 3;
+  p.normalDeliveryShare = 1;
+  p.requestTimeout = p.ttl / 10;
+  p.maxRetryPause = p.ttl;
+  p.maxMessageDelay = 5'000;
+  p.faultPhase = 4 * p.ttl;
+  p.recoveryPhase = 3 * p.ttl;
+  return p;
+}
+
 // Parameters of a random schedule.
 Plan randomPlan(std::uint64_t number) {
+  if (number % 6 == 0) return failoverPlan(number);
   Plan p;
   p.members = 2 + number % 4;
   p.leases = 1 + number / 4 % 2;
@@ -155,11 +175,12 @@
   out["messages_repeated"] = totals.duplicatedMessages;
   out["fenced_writes"] = totals.fencedWrites;
   out["refused_by_fence"] = totals.rejectedWrites;
+  out["guaranteed_leases"] = totals.guaranteedLeases;
   out["longest_without_holder_ms"] = totals.longestWithoutHolder / 1'000;
   // The run is only meaningful if every kind of fault occurred.
   if (totals.grants == 0 || totals.operations == 0 || totals.elections <= totals.schedules ||
       totals.restores == 0 || totals.lostMessages == 0 || totals.duplicatedMessages == 0 ||
-      totals.fencedWrites == 0 || totals.rejectedWrites == 0)
+      totals.fencedWrites == 0 || totals.rejectedWrites == 0 || totals.guaranteedLeases == 0)
     holds = false;
 #endif
   out["holds"] = holds;
--- a/verification/leases_world.hpp
+++ b/verification/leases_world.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "fleet/expiry/expiry.hpp"
+#include "fleet/lease_client/coordinator_selector.hpp"
 #include "fleet/lease_client/lease_client.hpp"
 #include "fleet/state/state.hpp"
 
@@ -64,12 +65,20 @@
   double actualDrift = 0.05;          // maximum rate error of the simulated clocks
   double normalDeliveryShare = 0.85;  // share of messages that arrive once and in time
   bool pauses = true, elections = true, restores = true;
+  // The leader fails once, and another coordinator leads after a while. There are no other faults.
+  bool failover = false;
+  Micros requestTimeout = ttl / 4, maxRetryPause = ttl / 4;
+  Micros maxMessageDelay = 30'000;  // of messages that arrive in time
 };
 
+// Longest delays of a coordinator that leads and is not paused.
+constexpr Micros kMaxCommitDelay = 10'000, kMaxApplyDelay = 2'000;
+
 struct Counts {
   std::size_t steps = 0, grants = 0, operations = 0, elections = 0, restores = 0, pauses = 0,
-              lostMessages = 0, duplicatedMessages = 0, fencedWrites = 0, rejectedWrites = 0, earlyLosses = 0;
-  Micros longestWithoutHolder = 0;  // of any lease, after faults have stopped
+              lostMessages = 0, duplicatedMessages = 0, fencedWrites = 0, rejectedWrites = 0, earlyLosses = 0,
+              guaranteedLeases = 0;  // held at a failover with more left than the bound
+  Micros longestWithoutHolder = 0;   // of any lease, after faults have stopped
 };
 
 class World {
@@ -91,11 +100,11 @@
       s.nonce = "n" + std::to_string(i);
       s.ttl = plan.ttl;
       s.maxClockDrift = plan.assumedDrift;
-      s.requestTimeout = plan.ttl / 4;
-      s.minRetryPause = 20'000;
-      s.maxRetryPause = plan.ttl / 4;
+      s.requestTimeout = plan.requestTimeout;
+      s.minRetryPause = kMinRetryPause;
+      s.maxRetryPause = plan.maxRetryPause;
       s.jitterSeed = i + 1;
-      members_.push_back(std::make_unique<Member>(LeaseClient(s)));
+      members_.push_back(std::make_unique<Member>(LeaseClient(s), plan.coordinators));
       members_.back()->rate = choices_.clockRate(plan.actualDrift);
       members_.back()->offset = static_cast<Micros>(i) * 77'000'000;
       for (std::size_t l = 0; l < plan.leases; ++l) members_.back()->leaseClient.acquire(leaseName(l));
@@ -103,6 +112,7 @@
     }
     scheduleAt(0, [this] { elect(0); });
     if (plan.pauses || plan.elections || plan.restores) scheduleAt(200'000, [this] { injectFault(); });
+    if (plan.failover) scheduleAt(choices_.between(plan.ttl, plan.ttl * 2), [this] { failLeader(); });
   }
 
   // Runs the schedule and returns the first violated invariant, or nullopt.
@@ -132,10 +142,13 @@
       return std::tie(time, order) > std::tie(other.time, other.order);
     }
   };
+  static constexpr Micros kMinRetryPause = 20'000, kRetryPausesPerTerm = 10;
   struct Reply {
     std::size_t member;
     std::uint64_t requestId;
   };
+  // How a failed coordinator treats requests.
+  enum class Failure { none, refuses, silent };
   struct Proposal {
     std::uint64_t term;
     Command command;
@@ -147,6 +160,8 @@
     ExpiryTracker expiry;
     double rate = 1;
     bool leading = false;
+    Failure failure = Failure::none;
+    std::optional<std::size_t> knownLeader;  // named in responses; may be outdated
     std::uint64_t term = 0;
     Micros pausedUntil = 0;
     LogIndex committedIndex = 0;  // last entry known to be committed
@@ -161,15 +176,24 @@
     bool paused = false;
   };
   struct Member {
-    explicit Member(LeaseClient client) : leaseClient(std::move(client)) {}
+    Member(LeaseClient client, std::size_t coordinators)
+        : leaseClient(std::move(client)), selector(coordinatorIds(coordinators), 0) {}
     LeaseClient leaseClient;
+    CoordinatorSelector selector;
+    std::map<std::uint64_t, std::size_t> asked;  // coordinator by request id, until the request ends
+    std::set<std::string> guaranteedLeases;      // may not expire, see guaranteeLeases()
     double rate = 1;
     Micros offset = 0, pausedUntil = 0;
-    std::size_t leader = 0;
     Micros nextRunAt = 0;
     std::vector<Operation> operations;
   };
 
+  // Ids of coordinators are their indexes plus 1.
+  static std::vector<std::uint64_t> coordinatorIds(std::size_t count) {
+    std::vector<std::uint64_t> ids;
+    for (std::size_t i = 0; i < count; ++i) ids.push_back(i + 1);
+    return ids;
+  }
   std::string leaseName(std::size_t i) const { return "lease" + std::to_string(i); }
   void scheduleAt(Micros when, std::function<void()> action) {
     events_.push({when, ++order_, std::move(action)});
@@ -204,7 +228,7 @@
       ++counts_.duplicatedMessages;
       scheduleAfter(choices_.between(plan_.ttl / 10, plan_.ttl * 2), deliver);
     }
-    scheduleAfter(choices_.between(500, 30'000), std::move(deliver));
+    scheduleAfter(choices_.between(500, plan_.maxMessageDelay), std::move(deliver));
   }
 
   void runMember(std::size_t i) {
@@ -212,7 +236,10 @@
     if (m.pausedUntil > now_) return scheduleAt(m.pausedUntil, [this, i] { runMember(i); });
     const Micros clock = clockOf(m);
     for (LeaseClient::Request& request : m.leaseClient.takeRequests(clock)) {
-      const std::size_t to = m.leader;
+      const std::size_t to = m.selector.current();
+      m.asked[request.id] = to;
+      scheduleAfter(static_cast<Micros>(static_cast<double>(plan_.requestTimeout) / m.rate),
+                    [this, reply = Reply{i, request.id}] { timeOutRequest(reply); });
       sendMessage(
           [this, i, to, request = std::move(request)] {
             receiveRequest(to, {i, request.id}, request.command);
@@ -220,6 +247,8 @@
           true);
     }
     for (const LeaseClient::Event& e : m.leaseClient.takeEvents(clock)) {
+      if (e.kind == LeaseClient::Event::Kind::leaseLost && m.guaranteedLeases.contains(e.lease))
+        reportViolation("a holder with enough of its term left at a failover lost " + e.lease);
       if (e.kind != LeaseClient::Event::Kind::leaseAcquired) continue;
       ++counts_.grants;
       FencingToken& last = lastToken_[e.lease];
@@ -244,26 +273,45 @@
     if (coordinator.pausedUntil > now_)
       return scheduleAt(coordinator.pausedUntil,
                         [this, k, reply, command] { receiveRequest(k, reply, command); });
+    if (coordinator.failure != Failure::none) return failRequest(k, reply);
     if (!coordinator.leading) {
-      sendMessage([this, reply] { deliverFailure(reply); }, false);
+      sendMessage([this, k, reply, named = coordinator.knownLeader] { deliverFailure(k, reply, named); },
+                  false);
       return;
     }
     propose(k, command, reply);
   }
 
-  void deliverFailure(const Reply& reply) {
+  // Ends a request at a failed coordinator: its connection is closed, or nothing happens.
+  void failRequest(std::size_t k, const Reply& reply) {
+    if (coordinators_[k]->failure == Failure::refuses)
+      sendMessage([this, k, reply] { deliverFailure(k, reply, {}); }, false);
+  }
+
+  void deliverFailure(std::size_t from, const Reply& reply, std::optional<std::size_t> namedLeader) {
     Member& m = *members_[reply.member];
-    if (m.pausedUntil > now_) return scheduleAt(m.pausedUntil, [this, reply] { deliverFailure(reply); });
-    m.leader = choices_.isRandom() ? choices_.below(coordinators_.size()) : currentLeader_;
-    if (faultsEnded()) m.leader = currentLeader_;
+    if (m.pausedUntil > now_)
+      return scheduleAt(m.pausedUntil,
+                        [this, from, reply, namedLeader] { deliverFailure(from, reply, namedLeader); });
+    if (m.asked.erase(reply.requestId) != 0)
+      m.selector.recordFailure(from, namedLeader ? *namedLeader + 1 : 0);
     m.leaseClient.handleFailure(reply.requestId, clockOf(m));
     runMember(reply.member);
   }
 
+  void timeOutRequest(const Reply& reply) {
+    const auto at = members_[reply.member]->asked.find(reply.requestId);
+    if (at != members_[reply.member]->asked.end()) deliverFailure(at->second, reply, {});
+  }
+
   void deliverResult(const Reply& reply, const Result& result) {
     Member& m = *members_[reply.member];
     if (m.pausedUntil > now_)
       return scheduleAt(m.pausedUntil, [this, reply, result] { deliverResult(reply, result); });
+    if (const auto at = m.asked.find(reply.requestId); at != m.asked.end()) {
+      m.selector.recordSuccess(at->second);
+      m.asked.erase(at);
+    }
     m.leaseClient.handleResult(reply.requestId, result, clockOf(m));
     runMember(reply.member);
   }
@@ -274,7 +322,7 @@
     Coordinator& coordinator = *coordinators_[k];
     coordinator.proposals.push_back({coordinator.term, command, reply});
     const std::uint64_t incarnation = coordinator.incarnation;
-    scheduleAfter(choices_.between(500, 10'000), [this, k, incarnation] { commit(k, incarnation); });
+    scheduleAfter(choices_.between(500, kMaxCommitDelay), [this, k, incarnation] { commit(k, incarnation); });
   }
 
   void commit(std::size_t k, std::uint64_t incarnation) {
@@ -283,15 +331,20 @@
     Proposal p = std::move(coordinator.proposals.front());
     coordinator.proposals.pop_front();
     if (p.term != term_) {  // another coordinator has been elected
-      if (p.reply) sendMessage([this, reply = *p.reply] { deliverFailure(reply); }, false);
+      if (p.reply) sendMessage([this, k, reply = *p.reply] { deliverFailure(k, reply, {}); }, false);
+      return;
+    }
+    if (coordinator.failure != Failure::none) {
+      if (p.reply) failRequest(k, *p.reply);
       return;
     }
     append(p.command);
     const LogIndex index = log_.size();
     if (p.reply) coordinator.replies[index].push_back(*p.reply);
     // Acknowledgements may reach the leader late, even after another one was elected.
-    const bool late = !faultsEnded() && choices_.isRandom() && choices_.chance(0.05);
-    const Micros delay = late ? choices_.between(plan_.ttl / 4, plan_.ttl * 2) : choices_.between(0, 2'000);
+    const bool late = !faultsEnded() && !plan_.failover && choices_.isRandom() && choices_.chance(0.05);
+    const Micros delay =
+        late ? choices_.between(plan_.ttl / 4, plan_.ttl * 2) : choices_.between(0, kMaxApplyDelay);
     scheduleAfter(delay, [this, k, incarnation, index] { applyUpTo(k, incarnation, index); });
     for (std::size_t other = 0; other < coordinators_.size(); ++other) {
       if (other == k) continue;
@@ -323,8 +376,13 @@
       }
       const auto replies = coordinator.replies.find(i);
       if (replies == coordinator.replies.end()) continue;
-      for (const Reply& reply : replies->second)
+      for (const Reply& reply : replies->second) {
+        if (coordinator.failure != Failure::none) {
+          failRequest(k, reply);
+          continue;
+        }
         sendMessage([this, reply, result] { deliverResult(reply, result); }, false);
+      }
       coordinator.replies.erase(replies);
     }
   }
@@ -364,6 +422,7 @@
     if (coordinator.pausedUntil > now_)
       return scheduleAt(coordinator.pausedUntil, [this, k, term] { stepDown(k, term); });
     if (coordinator.term >= term) return;
+    coordinator.knownLeader = currentLeader_;
     coordinator.leading = false;
     coordinator.expiry.stopLeading();
   }
@@ -375,6 +434,7 @@
       return scheduleAt(coordinator.pausedUntil,
                         [this, k, term, incarnation] { lead(k, term, incarnation); });
     coordinator.leading = true;
+    coordinator.knownLeader = k;
     coordinator.term = term;
     coordinator.expiry.startLeading(coordinator.state, clockOf(coordinator));
     // Committing the leader's first entry also commits all earlier entries.
@@ -382,6 +442,7 @@
     scheduleAfter(choices_.between(0, faultsEnded() ? 5'000 : 300'000),
                   [this, k, incarnation, lastIndex] { applyUpTo(k, incarnation, lastIndex); });
     if (!std::exchange(coordinator.expiryScheduled, true)) runExpiry(k);
+    if (failedLeader_) guaranteeLeases();
   }
 
   void runExpiry(std::size_t k) {
@@ -401,6 +462,43 @@
         [this, k] { runExpiry(k); });
   }
 
+  // ---- Failover ----
+
+  // The leader fails for good, and another coordinator is elected.
+  void failLeader() {
+    Coordinator& failed = *coordinators_[currentLeader_];
+    failed.failure = choices_.chance(0.5) ? Failure::silent : Failure::refuses;
+    failed.leading = false;
+    failed.expiry.stopLeading();
+    failedLeader_ = currentLeader_;
+    const std::size_t next =
+        (currentLeader_ + 1 + choices_.below(coordinators_.size() - 1)) % coordinators_.size();
+    scheduleAfter(choices_.between(plan_.ttl / 20, plan_.ttl * 9 / 10), [this, next] { elect(next); });
+  }
+
+  // Longest time from when a coordinator leads until a renewal is answered, by a member's clock: see
+  // docs/design/leases.md.
+  Micros failoverBound() const {
+    const Micros pause =
+        std::min(plan_.maxRetryPause, std::max(kMinRetryPause, plan_.ttl / kRetryPausesPerTerm));
+    const Micros answer = 2 * plan_.maxMessageDelay + kMaxCommitDelay + kMaxApplyDelay;
+    const Micros silent =
+        coordinators_[*failedLeader_]->failure == Failure::silent ? plan_.requestTimeout : 0;
+    const Micros bound = static_cast<Micros>(coordinators_.size()) * (pause + answer) + silent;
+    return static_cast<Micros>(static_cast<double>(bound) * (1 + plan_.actualDrift));
+  }
+
+  // A coordinator leads again: leases with more than the bound left must not expire any more.
+  void guaranteeLeases() {
+    for (const auto& member : members_) {
+      for (std::size_t l = 0; l < plan_.leases; ++l) {
+        if (!member->leaseClient.validToken(leaseName(l), clockOf(*member), failoverBound())) continue;
+        member->guaranteedLeases.insert(leaseName(l));
+        ++counts_.guaranteedLeases;
+      }
+    }
+  }
+
   // ---- Faults ----
 
   void injectFault() {
@@ -500,6 +598,7 @@
       if (std::any_of(m.operations.begin(), m.operations.end(),
                       [&](const Operation& operation) { return operation.lease == lease; }))
         return;
+      m.guaranteedLeases.erase(lease);
       if (choices_.chance(0.5)) {
         m.leaseClient.release(lease);
         m.leaseClient.acquire(lease);
@@ -552,6 +651,7 @@
   std::vector<Command> log_;
   std::uint64_t term_ = 0;
   std::size_t currentLeader_ = 0;
+  std::optional<std::size_t> failedLeader_;
   std::uint32_t lastGeneration_ = 1'000;
   LogIndex highestAppliedIndex_ = 0;
   std::vector<std::pair<LogIndex, State>> backups_;
