Start: signals that arrive before the event loop runs are acted on afterwards

What callers saw: a SIGHUP in the first moments ended the forwarder by signal 1, and what it owed had no end until the next start; with a long configuration the window was as long as its reading. A coordinator had the same for SIGTERM and SIGINT, and any SIGHUP ended it.

Cause: the configuration was read before handlers were registered. With [fleet] a SIGHUP before the lease of the folder was granted was dropped.

Change: process/startup_signals blocks the three signals as the first step of main() and releases them when the event loop is about to run. SIGTERM and SIGINT while the configuration is read end the process with status 0. A coordinator logs a SIGHUP.

Tests: a pipe in place of the configuration holds the start.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -11,15 +11,18 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <utility>
 
 #include "app/fleet_membership.hpp"
 #include "app/forwarder.hpp"
 #include "config/platform.hpp"
 #include "config/service_config.hpp"
+#include "process/startup_signals.hpp"
 
 namespace {
 
 using namespace quilltide::net;
+using quilltide::process::StartupSignals;
 
 constexpr int kExitFolderNotOwned = 4;  // another process owns the state folder
 constexpr auto kDrainDuration =
@@ -64,11 +67,11 @@
 class ForwarderProcess {
  public:
   ForwarderProcess(boost::asio::io_context& io, const LoadedConfig& loaded)
-      : io_(io), loaded_(loaded), reload_(io, SIGHUP), signals_(io, SIGTERM, SIGINT) {}
+      : io_(io), loaded_(loaded), reloadSignals_(io, SIGHUP), stopSignals_(io, SIGTERM, SIGINT) {}
 
   void start() {
-    waitForReload();  // registered first, so that a SIGHUP during recovery is not lost
-    signals_.async_wait([this](boost::system::error_code error, int) {
+    waitForReload();
+    stopSignals_.async_wait([this](boost::system::error_code error, int) {
       if (!error) shutDown();
     });
     if (!loaded_.service.fleet) return serve(nullptr);
@@ -100,16 +103,26 @@
     forwarder_->start();
     std::cerr << loaded_.config.name << " is ready" << std::endl;
     if (loaded_.service.http) std::cerr << "HTTP frontend at " << forwarder_->httpAddress() << std::endl;
+    if (std::exchange(reloadDeferred_, false)) reload();
   }
 
   void waitForReload() {
-    reload_.async_wait([this](boost::system::error_code error, int) {
+    reloadSignals_.async_wait([this](boost::system::error_code error, int) {
       if (error) return;
-      if (forwarder_) reloadConfiguration(loaded_.platformConfigPath, *forwarder_);
+      reload();
       waitForReload();
     });
   }
 
+  // Deferred until the forwarder serves: it starts with the configuration that was read first.
+  void reload() {
+    if (!forwarder_) {
+      reloadDeferred_ = true;
+      return;
+    }
+    reloadConfiguration(loaded_.platformConfigPath, *forwarder_);
+  }
+
   void shutDown() {
     const auto stop = [this] {
       if (!membership_) return io_.stop();
@@ -127,19 +140,25 @@
 
   boost::asio::io_context& io_;
   const LoadedConfig& loaded_;
-  boost::asio::signal_set reload_, signals_;
+  boost::asio::signal_set reloadSignals_, stopSignals_;
+  bool reloadDeferred_ = false;  // a SIGHUP came before the forwarder served
   std::unique_ptr<FleetMembership> membership_;
   std::unique_ptr<Forwarder> forwarder_;
   int status_ = 0;
 };
 
-int run(const std::string& serviceConfigPath) {
+int run(const std::string& serviceConfigPath, StartupSignals& startupSignals) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);  // the file size limit is handled as a write error
   const LoadedConfig loaded = loadConfig(serviceConfigPath);
+  if (startupSignals.shutdownRequested()) {
+    std::cerr << "thistleyoke: stopped before the start" << std::endl;
+    return 0;
+  }
   boost::asio::io_context io(1);
   ForwarderProcess process(io, loaded);
   process.start();
+  startupSignals.release();
   io.run();
   return process.status();
 }
@@ -167,6 +186,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  StartupSignals startupSignals;
   CLI::App app("Delivers messages to external systems over HTTP.", "thistleyoke");
   std::string serviceConfigPath;
   app.add_option("--config", serviceConfigPath,
@@ -183,7 +203,9 @@
       std::cout << "thistleyoke " << THISTLEYOKE_VERSION << std::endl;
       return 0;
     }
-    return checkCommand->parsed() ? check(serviceConfigPath) : run(serviceConfigPath);
+    if (!checkCommand->parsed()) return run(serviceConfigPath, startupSignals);
+    startupSignals.release();
+    return check(serviceConfigPath);
   } catch (const ConfigErrors& problems) {
     for (const std::string& line : problems.lines) std::cerr << "thistleyoke: " << line << std::endl;
   } catch (const std::exception& problem) {
--- a/src/coordinator/main.cpp
+++ b/src/coordinator/main.cpp
@@ -14,6 +14,7 @@
 #include "config/service_config.hpp"
 #include "coordinator/coordinator.hpp"
 #include "coordinator/recover.hpp"
+#include "process/startup_signals.hpp"
 
 namespace {
 
@@ -31,7 +32,16 @@
   spdlog::set_default_logger(logger);
 }
 
-int run(const coordinator::Settings& settings) {
+// SIGHUP changes nothing: a coordinator reads its settings at its start only.
+void logReloadRequests(boost::asio::signal_set& signals, std::uint64_t id) {
+  signals.async_wait([&signals, id](boost::system::error_code error, int) {
+    if (error) return;
+    spdlog::warn("event=not_reloaded id={} why=\"settings are read at the start only\"", id);
+    logReloadRequests(signals, id);
+  });
+}
+
+int run(const coordinator::Settings& settings, process::StartupSignals& startupSignals) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);  // a file size limit is reported as a write error
   boost::asio::io_context io(1);
@@ -42,6 +52,8 @@
     io.stop();
   });
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  boost::asio::signal_set reloadSignals(io, SIGHUP);
+  logReloadRequests(reloadSignals, settings.id);
   boost::asio::steady_timer shutdownTimer(io);
   signals.async_wait([&](boost::system::error_code error, int) {
     if (error) return;
@@ -53,6 +65,7 @@
     server.close([&] { io.stop(); });
   });
   server.start();
+  startupSignals.release();
   io.run();
   // Raft's files are consistent at any time, so open handles need no orderly shutdown.
   spdlog::info("event=ended id={} status={}", settings.id, status);
@@ -63,6 +76,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  process::StartupSignals startupSignals;
   CLI::App app("Coordination server: replicates the members, leases and values of a fleet.",
                "thistleyoke-coordinator");
   std::string file;
@@ -83,6 +97,7 @@
   CLI11_PARSE(app, argc, argv);
   try {
     const coordinator::Settings settings = coordinator::readSettings(file);
+    if (check->parsed() || recover->parsed()) startupSignals.release();
     if (check->parsed()) {
       std::cout << "the configuration can be used\ncoordinator " << settings.id << " of "
                 << settings.peers.size() + 1 << " in fleet '" << settings.fleet << "', HTTP at "
@@ -107,7 +122,7 @@
       return 0;
     }
     configureLogging(settings.log);
-    return run(settings);
+    return run(settings, startupSignals);
   } catch (const net::ConfigErrors& problems) {
     for (const std::string& line : problems.lines)
       std::cerr << "thistleyoke-coordinator: " << line << std::endl;
--- a/tests/harness/coordinators_test.cpp
+++ b/tests/harness/coordinators_test.cpp
@@ -1,6 +1,8 @@
 // Coordinators as processes: crashes, lost quorum, lost, damaged, outdated or foreign folders, replacement of
 // a member.
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/stat.h>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -48,6 +50,45 @@
   EXPECT_EQ(valueAt("k1", "a"), "1");
 }
 
+// Guards against a coordinator that is ended by a signal because its handlers are registered late. A pipe in
+// place of the settings holds the start.
+TEST_F(CoordinatorsTest, SignalsWhileTheSettingsAreReadAreActedOnAfterwards) {
+  coordinatorConfig.count = 1;
+  harness.add({"k1",
+               COORDINATOR,
+               {"--config", "{folder}/held.toml"},
+               {},
+               {{"settings.toml",
+                 "[coordinator]\nid = 1\nfleet = \"harness\"\nfolder = \"{state}\"\nlisten = \"{at:http}\"\n"
+                 "raft = \"{at:raft}\"\nelection_ms = 300\nheartbeat_ms = 50\n"}},
+               false});
+  ChildProcess& coordinator = harness.child("k1");
+  const fs::path pipe = coordinator.folder() / "held.toml";
+  ASSERT_EQ(::mkfifo(pipe.c_str(), 0600), 0);
+  for (const int number : {SIGHUP, SIGTERM, SIGINT}) {
+    SCOPED_TRACE(number);
+    harness.start("k1");
+    int writer = -1;
+    ASSERT_TRUE(waitUntil([&] {
+      if (writer < 0) writer = ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+      return writer >= 0;
+    }));
+    coordinator.sendSignal(number);
+    std::ifstream file(coordinator.folder() / "settings.toml");
+    const std::string settings{std::istreambuf_iterator<char>(file), {}};
+    ASSERT_EQ(::write(writer, settings.data(), settings.size()), static_cast<ssize_t>(settings.size()));
+    ::close(writer);
+    if (number == SIGHUP) {
+      EXPECT_TRUE(harness.waitForLine("k1", "event=not_reloaded", milliseconds(10'000)));
+      EXPECT_EQ(leader(), "k1");
+      coordinator.kill();
+      continue;
+    }
+    ASSERT_TRUE(waitForExit("k1"));
+    EXPECT_EQ(coordinator.waitStatus(), 0);
+  }
+}
+
 TEST_F(CoordinatorsTest, CommittedValuesSurviveDeathOfTheLeader) {
   startCoordinators();
   ASSERT_GT(put("a", "1"), 0U);
--- a/tests/net_fixture.hpp
+++ b/tests/net_fixture.hpp
@@ -265,20 +265,9 @@
 
   // The program itself, with the fixture's configuration in a file, once it takes connections.
   void startProgram() {
-    tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
-    const tcp::endpoint address = free.local_endpoint();
-    free.close();
-    config["listen"] = "127.0.0.1:" + std::to_string(address.port());
+    chooseAddress();
     writeConfig(config.dump());
-    program = ::fork();
-    ASSERT_GE(program, 0);
-    if (program == 0) {
-      ::setenv("PROXY_CONFIG", configPath().c_str(), 1);
-      ::setenv("PROXY_STATE", folder.path().c_str(), 1);
-      if (productPath.empty()) ::execl(FORWARDER, FORWARDER, static_cast<char*>(nullptr));
-      ::execl(FORWARDER, FORWARDER, "--config", productPath.c_str(), static_cast<char*>(nullptr));
-      ::_exit(127);
-    }
+    forkProgram();
     ASSERT_TRUE(until([&] {
       tcp::socket probe(io);
       error_code refused;
@@ -287,6 +276,22 @@
     }));
     client = std::make_unique<FakeClient>(loops, address);
   }
+  // Takes a free port for the program's frontend.
+  void chooseAddress() {
+    tcp::acceptor free(io, {asio::ip::make_address("127.0.0.1"), 0});
+    address = free.local_endpoint();
+    config["listen"] = "127.0.0.1:" + std::to_string(address.port());
+  }
+  void forkProgram() {
+    program = ::fork();
+    ASSERT_GE(program, 0);
+    if (program != 0) return;
+    ::setenv("PROXY_CONFIG", configPath().c_str(), 1);
+    ::setenv("PROXY_STATE", folder.path().c_str(), 1);
+    if (productPath.empty()) ::execl(FORWARDER, FORWARDER, static_cast<char*>(nullptr));
+    ::execl(FORWARDER, FORWARDER, "--config", productPath.c_str(), static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
   std::string configPath() const { return folder.path() + "/config.json"; }
   void writeConfig(const std::string& text) {
     std::ofstream(configPath() + ".new") << text;
@@ -316,6 +321,7 @@
   std::unique_ptr<Forwarder> forwarder;
   std::unique_ptr<FakeClient> client;
   std::string productPath;  // of the program's --config; empty: none
+  tcp::endpoint address;    // of the program's RESP2 frontend
   pid_t program = 0;
   int status = -1;
 };
