Start errors name the address, file or key, and no source path of a library

What callers saw: "bind: Address already in use [system:98 at /usr/include/boost/asio/...]" without the address; "invalid configuration: stoull"; "basic_filebuf::underflow error"; type errors without the key.

Cause: exceptions of libraries reached the operator as they were.

Change: process/listening_socket opens the listening sockets of both frontends and of the coordinators, and names address and reason; the configuration's reader names key or file; the programs print the message of any other system_error without its place.

--- a/src/app/forwarder.hpp
+++ b/src/app/forwarder.hpp
@@ -23,7 +23,7 @@
   Forwarder(boost::asio::io_context& io, const PlatformConfig& config,
             const ServiceConfig& serviceConfig = {}, std::unique_ptr<Ownership> ownership = nullptr);
 
-  // Recovers the journal, then listens. Throws boost::system::system_error if it cannot listen on an
+  // Recovers the journal, then listens. Throws std::runtime_error if it cannot listen on an
   // address.
   void start();
   // Recovers the journal without listening, to deliver the messages of a folder that was taken over.
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -208,6 +208,9 @@
     return check(serviceConfigPath);
   } catch (const ConfigErrors& problems) {
     for (const std::string& line : problems.lines) std::cerr << "thistleyoke: " << line << std::endl;
+  } catch (const boost::system::system_error& problem) {
+    // what() would name a source file of the library.
+    std::cerr << "thistleyoke: " << problem.code().message() << std::endl;
   } catch (const std::exception& problem) {
     std::cerr << "thistleyoke: " << problem.what() << std::endl;
   }
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -55,7 +55,35 @@
   return static_cast<int>(hash & 0xffffffU);
 }
 
+// The text under `key` of the configuration.
+std::string textAt(const json& config, const char* key) {
+  const auto at = config.is_object() ? config.find(key) : config.end();
+  if (at == config.end() || !at->is_string()) throw std::runtime_error(std::string(key) + " must be a text");
+  return at->get<std::string>();
+}
+
+// The address under `key` of the configuration.
+tcp::endpoint addressAt(const json& config, const char* key) {
+  const std::string text = textAt(config, key);
+  try {
+    return parseAddress(text);
+  } catch (const std::exception& problem) {
+    throw std::runtime_error(std::string(key) + ": " + problem.what());
+  }
+}
+
+std::uint64_t seedFrom(const json& value) {
+  const std::string text = scalarText(value);
+  try {
+    return std::stoull(text, nullptr, 16);
+  } catch (const std::logic_error&) {
+    throw std::runtime_error("seed must be a hexadecimal number of at most 64 bits, not '" + text + "'");
+  }
+}
+
 std::size_t megabytes(const json& limits, const char* name, std::size_t fallback) {
+  if (limits.contains(name) && !limits.at(name).is_number())
+    throw std::runtime_error(std::string("limits.") + name + " must be a number");
   const double value = limits.value(name, static_cast<double>(fallback) / 1e6);
   if (!(value > 0)) throw std::runtime_error(std::string("limits.") + name + " must be greater than 0");
   return static_cast<std::size_t>(value * 1e6);
@@ -72,7 +100,11 @@
 std::string readFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) throw std::runtime_error("cannot open the configuration '" + path + "'");
-  return {std::istreambuf_iterator<char>(file), {}};
+  try {
+    return {std::istreambuf_iterator<char>(file), {}};
+  } catch (const std::ios_base::failure& failure) {  // for example a directory
+    throw std::runtime_error("cannot read the configuration '" + path + "': " + failure.code().message());
+  }
 }
 
 tcp::endpoint parseAddress(const std::string& text) {
@@ -121,11 +153,11 @@
 PlatformConfig parsePlatformConfig(const json& text, const std::string& stateFolder) {
   try {
     PlatformConfig config;
-    config.name = text.at("name").get<std::string>();
-    config.listen = parseAddress(text.at("listen").get<std::string>());
-    config.discovery = parseAddress(text.at("discovery").get<std::string>());
+    config.name = textAt(text, "name");
+    config.listen = addressAt(text, "listen");
+    config.discovery = addressAt(text, "discovery");
     config.stateFolder = stateFolder;
-    if (text.contains("seed")) config.seed = std::stoull(scalarText(text.at("seed")), nullptr, 16);
+    if (text.contains("seed")) config.seed = seedFrom(text.at("seed"));
     const json limits = text.value("limits", json::object());
     config.maxSockets = limits.value("sockets", config.maxSockets);
     config.memoryLimitBytes = megabytes(limits, "memory_mb", config.memoryLimitBytes);
@@ -159,13 +191,6 @@
   return parsePlatformConfig(readJson(path), stateFolder);
 }
 
-tcp::endpoint readDiscoveryAddress(const std::string& path) {
-  try {
-    return parseAddress(readJson(path).at("discovery").get<std::string>());
-  } catch (const json::exception& problem) {
-    throw std::runtime_error(std::string("the configuration has no valid discovery address: ") +
-                             problem.what());
-  }
-}
+tcp::endpoint readDiscoveryAddress(const std::string& path) { return addressAt(readJson(path), "discovery"); }
 
 }  // namespace quilltide::net
--- a/src/coordinator/coordinator.hpp
+++ b/src/coordinator/coordinator.hpp
@@ -24,7 +24,7 @@
   Coordinator(boost::asio::io_context& io, const Settings& settings,
               std::function<void(const std::string&)> onFailure);
 
-  // Listens, queries the peers and starts the Raft node once admitted. Throws boost::system::system_error if
+  // Listens, queries the peers and starts the Raft node once admitted. Throws std::runtime_error if
   // the address cannot be bound.
   void start();
   void close(std::function<void()> closed);
--- a/src/coordinator/http_server.cpp
+++ b/src/coordinator/http_server.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "process/listening_socket.hpp"
+
 namespace quilltide::coordinator {
 
 namespace asio = boost::asio;
@@ -144,10 +146,7 @@
 HttpServer::~HttpServer() { close(); }
 
 void HttpServer::listen() {
-  acceptor_.open(listenAddress_.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(listenAddress_);
-  acceptor_.listen(asio::socket_base::max_listen_connections);
+  process::listenAt(acceptor_, listenAddress_);
   accept();
 }
 
--- a/src/coordinator/http_server.hpp
+++ b/src/coordinator/http_server.hpp
@@ -34,7 +34,7 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  void listen();  // throws boost::system::system_error if the address cannot be bound
+  void listen();  // throws std::runtime_error if the address cannot be bound
   void close();
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   std::size_t connections() const { return clients_.size(); }
--- a/src/coordinator/main.cpp
+++ b/src/coordinator/main.cpp
@@ -130,6 +130,10 @@
   } catch (const coordinator::FolderError& problem) {
     std::cerr << "thistleyoke-coordinator: " << problem.what() << std::endl;
     return kExitFolderError;
+  } catch (const boost::system::system_error& problem) {
+    // what() would name a source file of the library.
+    std::cerr << "thistleyoke-coordinator: " << problem.code().message() << std::endl;
+    return 1;
   } catch (const std::exception& problem) {
     std::cerr << "thistleyoke-coordinator: " << problem.what() << std::endl;
     return 1;
--- a/src/fleet/cli/main.cpp
+++ b/src/fleet/cli/main.cpp
@@ -283,6 +283,10 @@
     return membersCommand->parsed()  ? printMembers(r.body)
            : leasesCommand->parsed() ? printLeases(r.body)
                                      : printValues(r.body);
+  } catch (const boost::system::system_error& problem) {
+    // what() would name a source file of the library.
+    std::cerr << "thistleyoke-fleet: " << problem.code().message() << std::endl;
+    return 1;
   } catch (const std::exception& problem) {
     std::cerr << "thistleyoke-fleet: " << problem.what() << std::endl;
     return 1;
--- a/src/frontend/http/http_frontend.hpp
+++ b/src/frontend/http/http_frontend.hpp
@@ -30,7 +30,7 @@
   HttpFrontend(const HttpFrontend&) = delete;
   HttpFrontend& operator=(const HttpFrontend&) = delete;
 
-  void listen();  // throws boost::system::system_error if the address cannot be bound
+  void listen();  // throws std::runtime_error if the address cannot be bound
   boost::asio::ip::tcp::endpoint address() const { return listener_.address(); }
   // Disables keep-alive: idle connections are closed now, others after their current response.
   void drain();
--- a/src/frontend/listener/listener.cpp
+++ b/src/frontend/listener/listener.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <iostream>
 
+#include "process/listening_socket.hpp"
+
 namespace quilltide::net {
 namespace {
 
@@ -19,10 +21,7 @@
     : logName_(std::move(logName)), callbacks_(std::move(callbacks)), acceptor_(io), retryTimer_(io) {}
 
 void Listener::listen(const tcp::endpoint& bindAddress) {
-  acceptor_.open(bindAddress.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(bindAddress);
-  acceptor_.listen(asio::socket_base::max_listen_connections);
+  process::listenAt(acceptor_, bindAddress);
   acceptor_.non_blocking(true);
   accept();
 }
--- a/src/frontend/listener/listener.hpp
+++ b/src/frontend/listener/listener.hpp
@@ -26,7 +26,7 @@
   // `logName` prefixes the log lines.
   Listener(boost::asio::io_context& io, std::string logName, Callbacks callbacks);
 
-  // Throws boost::system::system_error if the address cannot be bound.
+  // Throws std::runtime_error if the address cannot be bound.
   void listen(const tcp::endpoint& bindAddress);
   // Accepts the backlog while there is capacity.
   void acceptPending();
--- a/src/frontend/resp/resp_frontend.hpp
+++ b/src/frontend/resp/resp_frontend.hpp
@@ -26,7 +26,7 @@
                Engine& engine);
   ~RespFrontend();
 
-  void listen();  // throws boost::system::system_error if the address cannot be bound
+  void listen();  // throws std::runtime_error if the address cannot be bound
   tcp::endpoint address() const { return listener_.address(); }
   // Stops accepting connections and requests. Requests that have arrived are still answered; each connection
   // is closed after its last reply.
