Upstream: an answer from before a call was written is not taken for its answer

What callers saw: nothing. A message that its partner never answered counted as delivered if a late second answer to an earlier call arrived after the connection had been taken for reuse. Found by reading; no case from the field is known.

Cause: input was looked at when the connection was taken, and not again before the call was written.

Change: on a reused connection input is looked at right before each write. Before the first byte the messages surely did not run (connectFailed); before the last one the answer proves nothing and the connection is closed.

Tests: two of the three UnsolicitedResponsesTest failed before (both counted as delivered, a 503 as never run); all pass. 302 tests other than those of leases, coordinators and takeover passed, verify_frontends among them. What HTTP/1.1 can't tell apart stands in design/race-conditions.md.

--- a/src/upstream/http/http_upstream_client.cpp
+++ b/src/upstream/http/http_upstream_client.cpp
@@ -56,12 +56,16 @@
   Clock::time_point lastUsedAt = Clock::now();
   int idleGeneration = 0;  // changes with each idle period; invalidates read waits of earlier ones
 
-  // False if the peer has closed the connection or sent unsolicited data.
-  bool isReusable() {
+  enum class Input { none, data, closed };
+  // What can be read now, without reading it.
+  Input peekInput() {
     char byte;
     const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (n > 0) return Input::data;
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Input::none : Input::closed;
   }
+  // False if the peer has closed the connection or sent unsolicited data.
+  bool isReusable() { return peekInput() == Input::none; }
   void close() {
     if (!countedAsOpen_) return;
     countedAsOpen_ = false;
@@ -215,6 +219,10 @@
 
   void writeRequest() {
     while (bytesWritten_ < requestBytes_.size()) {
+      // On a reused connection, what arrives before the last byte is written may belong to an earlier call.
+      const auto input = newConnection_ ? Connection::Input::none : connection_->peekInput();
+      if (bytesWritten_ == 0 && input != Connection::Input::none) return failUnreported();
+      receivedBeforeWritten_ = receivedBeforeWritten_ || input == Connection::Input::data;
       error_code error;
       bytesWritten_ += connection_->socket.write_some(
           asio::buffer(requestBytes_.data() + bytesWritten_, requestBytes_.size() - bytesWritten_), error);
@@ -403,7 +411,8 @@
 
   // A status line with 200 to a single message proves delivery, even if the rest is malformed or missing.
   bool statusLineConfirmsDelivery() const {
-    return stage_ == Stage::awaitingResponse && sentIndexes_.size() == 1 && response_.hasStatusOk();
+    return stage_ == Stage::awaitingResponse && sentIndexes_.size() == 1 && !receivedBeforeWritten_ &&
+           response_.hasStatusOk();
   }
   void finishAsDelivered() { finish({MessageResult{CallResult::succeeded, true}}, 0, false); }
 
@@ -415,6 +424,7 @@
   }
 
   void handleResponse() {
+    if (receivedBeforeWritten_) return finishUnreadable();
     std::vector<std::string> ids;
     for (const std::size_t i : sentIndexes_) ids.push_back(requests_[i].id);
     if (client_.settings_.loadReportSource == LoadReportSource::responses)
@@ -459,6 +469,7 @@
   Stage stage_ = Stage::connecting;
   bool newConnection_ = false, connectionLimitReached_ = false;
   bool starting_ = false, readWaitPending_ = false;
+  bool receivedBeforeWritten_ = false;  // a response began before the call was written
 };
 
 HttpUpstreamClient::HttpUpstreamClient(asio::io_context& io, const PlatformConfig& config,
