Coordinator: a leader that cannot answer does not say that it is not the leader

What callers saw: 421 not_leader without a name from the leader itself when a read barrier failed or Raft refused a command; clients then looked for a leader that does not exist.

Cause: every failed barrier, and every command that Raft refused at once, was answered as "not leader".

Change: the outcome follows Raft's status; such a read is answered 503 read_not_confirmed, a command 503 unknown_outcome.

--- a/src/coordinator/api.cpp
+++ b/src/coordinator/api.cpp
@@ -87,6 +87,12 @@
   return {421, body};
 }
 
+HttpResponse Api::failedProposalResponse(ProposalOutcome outcome) const {
+  if (outcome == ProposalOutcome::notLeader) return notLeaderResponse();
+  // The command may still be applied; the client resolves this by repeating the same request.
+  return errorResponse(503, "unknown_outcome");
+}
+
 // ---- Commands ----
 
 void Api::command(const HttpRequest& request, ResponseCallback respond) {
@@ -101,9 +107,7 @@
   ++commands_;
   const ProposalCallback onOutcome = [this, respond](ProposalOutcome outcome, const fleet::Result& result) {
     if (outcome == ProposalOutcome::applied) return respond({200, fleet::toJson(result)});
-    if (outcome == ProposalOutcome::notLeader) return respond(notLeaderResponse());
-    // The command may still be applied; the client resolves this by repeating the same request.
-    respond(errorResponse(503, "unknown_outcome"));
+    respond(failedProposalResponse(outcome));
   };
   if (const auto* renew = std::get_if<fleet::RenewSessions>(&command))
     return node_->renew(renew->sessions.front(), onOutcome);
@@ -142,7 +146,9 @@
   if (request.query.contains("local")) return respond({200, answer()});
   if (!node_->isLeader()) return respond(notLeaderResponse());
   node_->barrier([this, respond, answer](ProposalOutcome outcome) {
-    respond(outcome == ProposalOutcome::applied ? HttpResponse{200, answer()} : notLeaderResponse());
+    if (outcome == ProposalOutcome::applied) return respond({200, answer()});
+    // A leader that could not confirm the read may be asked again; there is no other one to look for.
+    respond(node_->isLeader() ? errorResponse(503, "read_not_confirmed") : notLeaderResponse());
   });
 }
 
@@ -327,7 +333,7 @@
   const std::string http = body.at("http").get<std::string>();
   const fleet::PutValue put{0, 0, kCoordinatorPrefix + std::to_string(id), http, {}, {}};
   node_->propose(put, [this, entry, respond](ProposalOutcome outcome, const fleet::Result&) {
-    if (outcome != ProposalOutcome::applied) return respond(notLeaderResponse());
+    if (outcome != ProposalOutcome::applied) return respond(failedProposalResponse(outcome));
     node_->addCoordinator(entry, [respond](const std::string& problem) {
       respond(problem.empty() ? HttpResponse{200, {{"code", "ok"}}} : errorResponse(409, problem));
     });
--- a/src/coordinator/api.hpp
+++ b/src/coordinator/api.hpp
@@ -49,6 +49,7 @@
   nlohmann::json values(const std::string& prefix) const;
   bool isCoordinator(std::uint64_t id) const;
   HttpResponse notLeaderResponse() const;
+  HttpResponse failedProposalResponse(ProposalOutcome outcome) const;
   std::string httpAddressOf(std::uint64_t id) const;
 
   boost::asio::io_context& io_;
--- a/src/coordinator/raft_node.cpp
+++ b/src/coordinator/raft_node.cpp
@@ -18,6 +18,11 @@
 constexpr std::size_t kMaxRenewalsPerEntry = 1'000;
 constexpr unsigned kReconnectDelayMs = 200;
 
+// Outcome of a request that C-Raft has refused or ended with a status other than 0.
+ProposalOutcome failureOutcome(int status) {
+  return status == RAFT_NOTLEADER ? ProposalOutcome::notLeader : ProposalOutcome::unknown;
+}
+
 // Prefix of each log entry and snapshot. C-Raft stores them in 8-byte words and does not preserve other
 // lengths, so the header carries the length. The checksum stops a replica with corrupt data instead of
 // letting its state diverge.
@@ -66,9 +71,7 @@
   ProposalCallback callback;
   static void done(struct raft_apply* request, int status, void* result) {
     const std::unique_ptr<Proposal> self(static_cast<Proposal*>(request->data));
-    ProposalOutcome outcome = status == 0                ? ProposalOutcome::applied
-                              : status == RAFT_NOTLEADER ? ProposalOutcome::notLeader
-                                                         : ProposalOutcome::unknown;
+    const ProposalOutcome outcome = status == 0 ? ProposalOutcome::applied : failureOutcome(status);
     // For locally proposed entries `result` points to lastResult_, set by apply().
     const fleet::Result appliedResult =
         status == 0 && result != nullptr ? *static_cast<fleet::Result*>(result) : fleet::Result{};
@@ -336,11 +339,12 @@
   proposal->node = this;
   proposal->request.data = proposal.get();
   const raft_buffer buffer = encodeFrame(fleet::encode(command));
-  if (buffer.base == nullptr) return reject(ProposalOutcome::notLeader);
+  if (buffer.base == nullptr) return reject(ProposalOutcome::unknown);
   proposal->callback = callback;
-  if (raft_apply(&raft_, &proposal->request, &buffer, 1, Proposal::done) != 0) {
+  const int status = raft_apply(&raft_, &proposal->request, &buffer, 1, Proposal::done);
+  if (status != 0) {
     raft_free(buffer.base);
-    return reject(ProposalOutcome::notLeader);
+    return reject(failureOutcome(status));
   }
   static_cast<void>(proposal.release());
   loop_.turn();
@@ -394,12 +398,13 @@
   const int status = raft_barrier(&raft_, &barrier->request, [](struct raft_barrier* request, int failed) {
     const std::unique_ptr<Barrier> self(static_cast<Barrier*>(request->data));
     self->node->pendingCallbacks_.push_back([callback = std::move(self->callback), failed] {
-      callback(failed == 0 ? ProposalOutcome::applied : ProposalOutcome::unknown);
+      callback(failed == 0 ? ProposalOutcome::applied : failureOutcome(failed));
     });
   });
   if (status != 0) {
-    boost::asio::post(io_,
-                      [callback = std::move(barrier->callback)] { callback(ProposalOutcome::notLeader); });
+    boost::asio::post(io_, [callback = std::move(barrier->callback), outcome = failureOutcome(status)] {
+      callback(outcome);
+    });
     return;
   }
   static_cast<void>(barrier.release());
