Coordinator: each caller of close is told of its end

What callers saw: nothing yet, the program closes once. A second caller's callback was dropped.

Change: RaftNode keeps all callbacks; one that comes after the end is called from the event loop.

Test: CoordinatorTest.EachCallerOfCloseIsToldOfItsEnd failed before (one of three callers told) and passes.

--- a/src/coordinator/raft_node.cpp
+++ b/src/coordinator/raft_node.cpp
@@ -173,15 +173,13 @@
 }
 
 void RaftNode::close(std::function<void()> closed) {
-  if (closing_) return;
-  closing_ = true;
+  if (closed_) {
+    boost::asio::post(io_, std::move(closed));
+    return;
+  }
+  closeCallbacks_.push_back(std::move(closed));
+  if (std::exchange(closing_, true)) return;
   tickTimer_.cancel();
-  closeCallback_ = std::move(closed);
-  const auto finishClose = [this] {
-    running_ = false;
-    loop_.stop();
-    if (closeCallback_) boost::asio::post(io_, std::exchange(closeCallback_, nullptr));
-  };
   if (!initialized_) return finishClose();
   raft_close(&raft_, [](raft* r) {
     RaftNode* self = static_cast<RaftNode*>(r->data);
@@ -189,14 +187,19 @@
     raft_uv_tcp_close(&self->transport_);
     self->running_ = false;
     self->initialized_ = false;
-    self->pendingCallbacks_.push_back([self] {
-      self->loop_.stop();
-      if (self->closeCallback_) boost::asio::post(self->io_, std::exchange(self->closeCallback_, nullptr));
-    });
+    self->pendingCallbacks_.push_back([self] { self->finishClose(); });
   });
   loop_.turn();
 }
 
+void RaftNode::finishClose() {
+  running_ = false;
+  closed_ = true;
+  loop_.stop();
+  for (std::function<void()>& callback : std::exchange(closeCallbacks_, {}))
+    boost::asio::post(io_, std::move(callback));
+}
+
 // ---- C-Raft callbacks ----
 
 int RaftNode::apply(raft_fsm* fsm, const raft_buffer* buffer, void** result) {
--- a/src/coordinator/raft_node.hpp
+++ b/src/coordinator/raft_node.hpp
@@ -50,7 +50,7 @@
   // Loads the log and starts Raft. Throws FolderError if the data is damaged or older than the recorded
   // progress. A new folder bootstraps a cluster of all configured coordinators unless `join` is set.
   void start();
-  // Stops Raft and then calls `closed` from the event loop. Only the first call has an effect.
+  // Stops Raft and then calls `closed` from the event loop. Later calls are told of the same end.
   void close(std::function<void()> closed);
 
   // Replicates a command through the log; only the leader accepts it.
@@ -86,6 +86,7 @@
   void onLoopTurn();
   void tick();
   void flushRenewals();
+  void finishClose();
   void changeRole(std::uint64_t id, std::function<void(std::string)> callback);
   void bootstrapCluster();
   std::string lastRaftError() { return raft_errmsg(&raft_); }
@@ -109,7 +110,7 @@
   raft_io raftIo_{};
   raft_fsm fsm_{};
   raft raft_{};
-  bool initialized_ = false, running_ = false, closing_ = false;
+  bool initialized_ = false, running_ = false, closing_ = false, closed_ = false;
   std::uint64_t leaderTerm_ = 0;
   bool raisingGeneration_ = false;
   fleet::Result lastResult_;
@@ -117,7 +118,7 @@
   std::vector<std::function<void()>> pendingCallbacks_;  // run after the current loop turn
   std::vector<std::pair<fleet::SessionId, ProposalCallback>> pendingRenewals_;
   bool renewalInFlight_ = false;
-  std::function<void()> closeCallback_;
+  std::vector<std::function<void()>> closeCallbacks_;
 };
 
 }  // namespace quilltide::coordinator
--- a/tests/fleet/coordinator_test.cpp
+++ b/tests/fleet/coordinator_test.cpp
@@ -114,5 +114,16 @@
   EXPECT_EQ(request("/v1/put", &put).first, 200);
 }
 
+// Guards against a caller that waits for the end of a shutdown which another one has begun.
+TEST_F(CoordinatorTest, EachCallerOfCloseIsToldOfItsEnd) {
+  ASSERT_TRUE(runUntil([&] { return leads(); })) << failure;
+  int closed = 0;
+  server->close([&] { ++closed; });
+  server->close([&] { ++closed; });
+  EXPECT_TRUE(runUntil([&] { return closed == 2; })) << closed;
+  server->close([&] { ++closed; });
+  EXPECT_TRUE(runUntil([&] { return closed == 3; })) << closed;
+}
+
 }  // namespace
 }  // namespace quilltide::coordinator
