Session client: an exception of the state handling is not taken for a failed call

A response was parsed and applied in one try block: an exception while a result was applied moved the member to another coordinator, reported the request as failed and left the state half changed. Only the parsing is in the block now.

Not reproduced: no result was found that makes the state handling throw. The fleet tests pass.

--- a/src/fleet/session_client/session_client.cpp
+++ b/src/fleet/session_client/session_client.cpp
@@ -20,13 +20,23 @@
 constexpr auto kPollWait = milliseconds(20'000), kPollTimeoutMargin = milliseconds(3'000),
                kPollRetryPause = milliseconds(200);
 
-constexpr int kNoResponse = 0, kMisdirectedRequest = 421, kFirstServerError = 500;
+constexpr int kNoResponse = 0, kOk = 200, kMisdirectedRequest = 421, kFirstServerError = 500;
 
 // Whether a response to a read means that another coordinator should be asked.
 bool isCoordinatorFailure(int status) {
   return status == kNoResponse || status == kMisdirectedRequest || status >= kFirstServerError;
 }
 
+// The result that a response to a command holds; nullopt if the leader did not answer.
+std::optional<Result> resultOf(int status, const nlohmann::json& body) {
+  if (status != kOk) return std::nullopt;
+  try {
+    return resultFromJson(body);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::vector<std::uint64_t> idsOf(const std::vector<CoordinatorAddress>& coordinators) {
   std::vector<std::uint64_t> ids;
   for (const CoordinatorAddress& coordinator : coordinators) ids.push_back(coordinator.id);
@@ -180,12 +190,10 @@
 
 void SessionClient::handleResponse(const CoordinatorCall& call, std::uint64_t requestId, int status,
                                    const nlohmann::json& body) {
-  try {
-    if (status != 200) throw std::runtime_error("request failed");
-    const Result result = resultFromJson(body);
+  if (const std::optional<Result> result = resultOf(status, body)) {
     selector_.recordSuccess(call.coordinator);
-    leaseClient_.handleResult(requestId, result, clocks::bootNow());
-  } catch (const std::exception&) {
+    leaseClient_.handleResult(requestId, *result, clocks::bootNow());
+  } else {
     handleCoordinatorFailure(call.coordinator, status, body);
     leaseClient_.handleFailure(requestId, clocks::bootNow());
   }
@@ -217,7 +225,7 @@
                               if (!*alive) return;
                               if (isCoordinatorFailure(status))
                                 handleCoordinatorFailure(readCall_.coordinator, status, body);
-                              if (status == 200 || pendingReads_.front().attempts >= kMaxReadAttempts) {
+                              if (status == kOk || pendingReads_.front().attempts >= kMaxReadAttempts) {
                                 const auto onResponse = std::move(pendingReads_.front().onResponse);
                                 pendingReads_.pop_front();
                                 onResponse(status, body);
@@ -236,8 +244,8 @@
   watchCall_.call(addressOf(selector_.current()), target, nullptr, kPollWait + kPollTimeoutMargin,
                   [this, alive = alive_](int status, const nlohmann::json& body) {
                     if (!*alive) return;
-                    const LogIndex changed = status == 200 ? numberIn(body, "changed") : 0;
-                    if (status == 200 && (changed > lastSeenChange_ || changed == 0)) {
+                    const LogIndex changed = status == kOk ? numberIn(body, "changed") : 0;
+                    if (status == kOk && (changed > lastSeenChange_ || changed == 0)) {
                       lastSeenChange_ = changed;
                       leaseClient_.renewSoon(clocks::bootNow());
                       return process();
