Module: a constant of its own for each bound that the breaker's trip constants stood for

kTripErrorCount also bounded the calls behind a loss share, consecutive rejections and the samples of the slowdown quantile; kTripErrorShare also bounded the listed rate. Four constants, each with the value it had. (A fifth other use was not found.)

The module's 82 tests pass.

--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -18,6 +18,7 @@
 constexpr double kTicketGrowthFactor = 1.5;
 constexpr double kTripErrorCount = 5;
 constexpr double kTripErrorShare = 0.5;
+constexpr int kTripConsecutiveRejectionCount = 5;
 constexpr int kTripConsecutiveFailureCount = 2;
 constexpr double kWindowSoftDeadlineFactor = 4;
 
@@ -72,6 +73,8 @@
 
 // Growth without any answer.
 constexpr double kRateShareGrowthPerSecond = 0.02;
+// Lowest rate limit, as a fraction of this sender's share of the total rate.
+constexpr double kMinListedRateShare = 0.5;
 // A smaller share would leave too few calls to detect recovery.
 constexpr double kMinRateShare = 0.1;
 // The rate limit is removed above this share.
@@ -96,6 +99,7 @@
 // A destination that loses more than this share of its calls while it answers others counts as lossy.
 constexpr double kLossyShare = 0.05;
 constexpr double kMinLostCount = 1.5;
+constexpr double kMinCallsForLossShare = 5;
 // Probability with which random losses alone may open a breaker.
 constexpr double kFalseTripProbability = 0.01;
 // Failures between two answers closer together than this do not indicate an outage.
@@ -103,6 +107,7 @@
 
 constexpr std::size_t kRecentSlowdownCount = 15;
 constexpr double kSlowdownQuantile = 0.6;
+constexpr std::size_t kMinSlowdownCount = 5;
 constexpr double kDispatchIntervalSoftDeadlineFactor = 0.01;
 constexpr double kInitialTicketCount = 1;
 
@@ -697,7 +702,7 @@
   // Share of calls lost over all destinations, at most one half.
   double overallLossShare() const {
     const double callCount = recentCalls_.valueAt(now_, kAnswerGapSoftDeadlineFactor * softDeadlineUs_);
-    return callCount < kTripErrorCount
+    return callCount < kMinCallsForLossShare
                ? 0
                : std::clamp(
                      recentLosses_.valueAt(now_, kAnswerGapSoftDeadlineFactor * softDeadlineUs_) / callCount,
@@ -783,7 +788,7 @@
 
   // Lower bound for a reduced rate limit: a fraction of this sender's share of the total rate.
   double minListedRate(const Circuit& circuit) const {
-    return kTripErrorShare * circuit.totalRate / settings_.fleetSize;
+    return kMinListedRateShare * circuit.totalRate / settings_.fleetSize;
   }
   bool sharesRateLimit(const Circuit& circuit) const { return isLargeFleet() && !circuit.hasNoRateLimit; }
   double demandRate(const Circuit& circuit) const {
@@ -817,7 +822,7 @@
     if (circuit.consecutiveRejections++ == 0) circuit.firstRejectionAt = now_;
     const bool rejectedForLong = now_ - circuit.firstRejectionAt > static_cast<Micros>(softDeadlineUs_);
     if (circuit.breaker != BreakerState::closed ||
-        (rejectedForLong && circuit.consecutiveRejections > kTripErrorCount) ||
+        (rejectedForLong && circuit.consecutiveRejections > kTripConsecutiveRejectionCount) ||
         retryDelay > softDeadlineUs_) {
       circuit.needsSlowStart = circuit.respondedWithFailure = true;
       circuit.lastFailureAt = now_;
@@ -1017,7 +1022,7 @@
     const auto quantileIt = values.begin() + static_cast<std::ptrdiff_t>(
                                                  kSlowdownQuantile * static_cast<double>(values.size() - 1));
     std::nth_element(values.begin(), quantileIt, values.end());
-    slowdownQuantile_ = static_cast<double>(values.size()) < kTripErrorCount ? 1 : std::max(1.0, *quantileIt);
+    slowdownQuantile_ = values.size() < kMinSlowdownCount ? 1 : std::max(1.0, *quantileIt);
   }
 
   // An overdue call counts as an error before it times out. It counts as lost if a later call was answered,
