Command line: the leader is found when a follower still names a dead one

Found by looking for the lease fault elsewhere.

Change: its own search is gone; it uses CoordinatorSelector.

Test: SessionClientFailoverTest.CommandLineFindsALeaderThatAFollowerDoesNotName failed with the older tool after 4 s (no request to the leader) and passes.

--- a/src/fleet/cli/main.cpp
+++ b/src/fleet/cli/main.cpp
@@ -48,22 +48,17 @@
 Response sendToLeader(const std::vector<CoordinatorAddress>& coordinators, const std::string& target,
                       const json* body) {
   Response last;
-  std::size_t at = 0;
+  CoordinatorSelector selector(idsOf(coordinators), 0);
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    last = sendRequest(coordinators[at], target, body, kRequestTimeout);
+    const std::size_t asked = selector.current();
+    last = sendRequest(coordinators[asked], target, body, kRequestTimeout);
     if (last.status == 200 || last.status == 400 || last.status == 404 || last.status == 409) return last;
-    std::size_t next = (at + 1) % coordinators.size();
-    if (last.status == 421 && last.body.contains("leader")) {
-      const auto id = last.body["leader"].value("id", std::uint64_t{0});
-      for (std::size_t i = 0; i < coordinators.size(); ++i)
-        if (coordinators[i].id == id) next = i;
-    }
-    if (next <= at || last.status == 0) {
+    selector.recordFailure(asked, namedLeaderIn(last.body));
+    if (selector.current() <= asked || last.status == 0) {
       boost::asio::io_context io;
       boost::asio::steady_timer pause(io, kRetryPause);
       pause.wait();
     }
-    at = next;
   }
   return last;
 }
--- a/src/fleet/session_client/session_client.cpp
+++ b/src/fleet/session_client/session_client.cpp
@@ -37,12 +37,6 @@
   }
 }
 
-std::vector<std::uint64_t> idsOf(const std::vector<CoordinatorAddress>& coordinators) {
-  std::vector<std::uint64_t> ids;
-  for (const CoordinatorAddress& coordinator : coordinators) ids.push_back(coordinator.id);
-  return ids;
-}
-
 }  // namespace
 
 std::vector<CoordinatorAddress> parseCoordinators(const std::string& text) {
@@ -69,6 +63,16 @@
   return out;
 }
 
+std::vector<std::uint64_t> idsOf(const std::vector<CoordinatorAddress>& coordinators) {
+  std::vector<std::uint64_t> ids;
+  for (const CoordinatorAddress& coordinator : coordinators) ids.push_back(coordinator.id);
+  return ids;
+}
+
+std::uint64_t namedLeaderIn(const nlohmann::json& body) {
+  return body.is_object() && body.contains("leader") ? numberIn(body.at("leader"), "id") : 0;
+}
+
 SessionClient::SessionClient(boost::asio::io_context& io, Settings settings, OnEvent onEvent)
     : io_(io),
       settings_([&] {
@@ -202,8 +206,7 @@
 
 void SessionClient::handleCoordinatorFailure(std::size_t coordinator, int status,
                                              const nlohmann::json& body) {
-  const std::uint64_t namedLeader =
-      body.is_object() && body.contains("leader") ? numberIn(body.at("leader"), "id") : 0;
+  const std::uint64_t namedLeader = namedLeaderIn(body);
   selector_.recordFailure(coordinator, namedLeader);
   if (settings_.onRequestFailure)
     settings_.onRequestFailure(
--- a/src/fleet/session_client/session_client.hpp
+++ b/src/fleet/session_client/session_client.hpp
@@ -28,6 +28,10 @@
 // Parses "1=127.0.0.1:7401,2=127.0.0.1:7402". Throws std::runtime_error with a one-line message on a
 // malformed list.
 std::vector<CoordinatorAddress> parseCoordinators(const std::string& text);
+std::vector<std::uint64_t> idsOf(const std::vector<CoordinatorAddress>& coordinators);
+
+// Id of the leader that a coordinator's response names; 0 if it names none.
+std::uint64_t namedLeaderIn(const nlohmann::json& body);
 
 // Runs on the thread of its io_context and never blocks. Keeps separate connections for renewals, other
 // requests, reads, and a long poll while it waits for a lease.
--- a/tests/fleet/failover_test.cpp
+++ b/tests/fleet/failover_test.cpp
@@ -1,6 +1,9 @@
 // Search for a new leading coordinator by a member that holds a lease: retry pauses in virtual time, the
 // order in which coordinators are asked, and the session client against coordinators on loopback.
 #include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <functional>
 #include <random>
@@ -284,9 +287,10 @@
 
  private:
   void handle(const HttpRequest& request, const ResponseCallback& respond) {
-    if (silent || request.method != "POST") return unanswered_.push_back(respond);
+    if (silent || request.path == "/v1/changes") return unanswered_.push_back(respond);
     ++requests;
     if (!leads) return respond({421, {{"error", "not_leader"}, {"leader", {{"id", namedLeader}}}}});
+    if (request.method == "GET") return respond({200, {{"index", 0}, {"members", nlohmann::json::array()}}});
     const Command command = commandFromRequest(request.path, nlohmann::json::parse(request.body));
     std::vector<Effect> effects;
     respond({200, toJson(state_.apply(state_.appliedIndex() + 1, command, &effects))});
@@ -399,5 +403,35 @@
   EXPECT_TRUE(runUntil([&] { return writes == 1; }));
 }
 
+// Guards the command-line tool against going back and forth between a dead leader and a follower that names
+// it.
+TEST_F(SessionClientFailoverTest, CommandLineFindsALeaderThatAFollowerDoesNotName) {
+  for (std::size_t i = 0; i < 3; ++i) {
+    coordinators.push_back(std::make_unique<FakeCoordinator>(io, state));
+    coordinators.back()->namedLeader = 1;
+  }
+  coordinators.front()->refuseConnections();
+  coordinators.back()->leads = true;
+  std::string addresses;
+  for (std::size_t i = 0; i < coordinators.size(); ++i)
+    addresses += (i > 0 ? "," : "") + std::to_string(i + 1) +
+                 "=127.0.0.1:" + std::to_string(coordinators[i]->address().port());
+  const pid_t tool = ::fork();
+  ASSERT_GE(tool, 0);
+  if (tool == 0) {
+    ::execl(FLEET, FLEET, "--coordinators", addresses.c_str(), "members", static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  int status = 0;
+  pid_t ended = 0;
+  EXPECT_TRUE(runUntil([&] {
+    if (ended == 0) ended = ::waitpid(tool, &status, WNOHANG);
+    return ended == tool;
+  }));
+  if (ended == 0) ::kill(tool, SIGKILL);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+  EXPECT_EQ(coordinators.back()->requests, 1U);
+}
+
 }  // namespace
 }  // namespace quilltide::fleet
