--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -15,7 +15,6 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <random>
-#include <sstream>
 #include <stdexcept>
 
 namespace quilltide::net {
@@ -23,6 +22,7 @@
 
 using nlohmann::json;
 
+constexpr std::streamsize kReadChunkBytes = 1 << 16;
 constexpr std::size_t kHeaderBytes = 8;               // length and checksum
 constexpr std::size_t kMaxRecordBytes = 1 << 20;      // a greater length means a corrupt record
 constexpr std::size_t kAttemptsReserveBytes = 1'500;  // space for the attempts and the end of one message
@@ -30,6 +30,18 @@
 constexpr std::size_t kBlockBytes = 512;
 constexpr std::size_t kMaxEndedIds = 4'096;  // remembered ids of ended messages
 
+// Throws std::runtime_error if the file cannot be read: it must not be taken for an empty one.
+std::string readWhole(const std::string& path) {
+  std::ifstream input(path, std::ios::binary);
+  if (!input) throw std::runtime_error("cannot open '" + path + "': " + std::strerror(errno));
+  std::string content;
+  std::vector<char> chunk(kReadChunkBytes);
+  while (input.read(chunk.data(), kReadChunkBytes) || input.gcount() > 0)
+    content.append(chunk.data(), static_cast<std::size_t>(input.gcount()));
+  if (input.bad()) throw std::runtime_error("cannot read '" + path + "'");
+  return content;
+}
+
 std::uint32_t checksum(const char* data, std::size_t size) {
   boost::crc_32_type crc;
   crc.process_bytes(data, size);
@@ -154,10 +166,7 @@
 }
 
 void Journal::replay(const std::string& path, bool truncateTornTail) {
-  std::ifstream input(path, std::ios::binary);
-  std::stringstream content;
-  content << input.rdbuf();
-  const std::string bytes = content.str();
+  const std::string bytes = readWhole(path);
   std::size_t offset = 0;
   while (bytes.size() - offset >= kHeaderBytes) {
     std::uint32_t head[2];
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -590,6 +590,31 @@
   EXPECT_TRUE(Journal(folder.path(), 3'000'000).pendingMessages().empty());
 }
 
+// Guards against a journal that cannot be read being taken for an empty one: the takeover would delete it.
+TEST(JournalFile, PreviousOwnersJournalThatCannotBeReadIsNotTakenOver) {
+  Folder folder;
+  const std::string previous = Ownership(folder.path(), 1).journalPath();
+  {
+    Journal owner(folder.path(), 3'000'000, {}, std::make_unique<Ownership>(folder.path(), 1));
+    owner.accept(message("m1"));
+    ASSERT_TRUE(owner.commit());
+  }
+  ASSERT_TRUE(std::filesystem::exists(previous));
+  std::filesystem::rename(previous, folder.path() + "/kept");
+  std::filesystem::create_directory(previous);
+  try {
+    Journal successor(folder.path(), 3'000'000, {}, std::make_unique<Ownership>(folder.path(), 2));
+    ADD_FAILURE() << successor.pendingMessages().size() << " messages taken over";
+  } catch (const std::runtime_error& problem) {
+    EXPECT_NE(std::string(problem.what()).find(previous), std::string::npos) << problem.what();
+  }
+  ASSERT_TRUE(std::filesystem::is_directory(previous));
+  std::filesystem::remove(previous);
+  std::filesystem::rename(folder.path() + "/kept", previous);
+  Journal successor(folder.path(), 3'000'000, {}, std::make_unique<Ownership>(folder.path(), 3));
+  EXPECT_NE(successor.find("m1"), nullptr);
+}
+
 // However much goes through, the folder stays under its limit, and everything that is owed is still there.
 TEST(JournalFile, StaysUnderItsLimit) {
   Folder folder;
