Upstream: the end of a kept connection before a call is told as before

Only data before the first byte is told so now; the end is found as it was before.

UnsolicitedResponsesTest passes.

--- a/src/upstream/http/http_upstream_client.cpp
+++ b/src/upstream/http/http_upstream_client.cpp
@@ -56,16 +56,13 @@
   Clock::time_point lastUsedAt = Clock::now();
   int idleGeneration = 0;  // changes with each idle period; invalidates read waits of earlier ones
 
-  enum class Input { none, data, closed };
-  // What can be read now, without reading it.
-  Input peekInput() {
-    char byte;
-    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (n > 0) return Input::data;
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Input::none : Input::closed;
-  }
   // False if the peer has closed the connection or sent unsolicited data.
-  bool isReusable() { return peekInput() == Input::none; }
+  bool isReusable() {
+    const ssize_t n = peekByte();
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+  // Whether there is data to read.
+  bool hasInput() { return peekByte() > 0; }
   void close() {
     if (!countedAsOpen_) return;
     countedAsOpen_ = false;
@@ -75,6 +72,10 @@
   }
 
  private:
+  ssize_t peekByte() {
+    char byte;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  }
   std::size_t& connectionCount_;
   bool countedAsOpen_ = true;
 };
@@ -220,9 +221,10 @@
   void writeRequest() {
     while (bytesWritten_ < requestBytes_.size()) {
       // On a reused connection, what arrives before the last byte is written may belong to an earlier call.
-      const auto input = newConnection_ ? Connection::Input::none : connection_->peekInput();
-      if (bytesWritten_ == 0 && input != Connection::Input::none) return failUnreported();
-      receivedBeforeWritten_ = receivedBeforeWritten_ || input == Connection::Input::data;
+      if (!newConnection_ && connection_->hasInput()) {
+        if (bytesWritten_ == 0) return failUnreported();
+        receivedBeforeWritten_ = true;
+      }
       error_code error;
       bytesWritten_ += connection_->socket.write_some(
           asio::buffer(requestBytes_.data() + bytesWritten_, requestBytes_.size() - bytesWritten_), error);
