Lease model: failovers are schedules of their own, and take no others' place

What was weakened: failovers replaced every sixth random schedule, half of the restores among them, and members in the other schedules asked the coordinator of their search where they had asked any.

--- a/verification/leases_model.cpp
+++ b/verification/leases_model.cpp
@@ -46,9 +46,9 @@
   Plan p;
   p.failover = true;
   p.pauses = p.elections = p.restores = false;
-  p.members = 2 + number / 6 % 4;
+  p.members = 2 + number % 4;
   p.leases = 2;
-  p.coordinators = number / 6 % 3 == 0 ? 5 : 3;
+  p.coordinators = number % 3 == 0 ? 5 : 3;
   p.normalDeliveryShare = 1;
   p.requestTimeout = p.ttl / 10;
   p.maxRetryPause = p.ttl;
@@ -60,7 +60,6 @@
 
 // Parameters of a random schedule.
 Plan randomPlan(std::uint64_t number) {
-  if (number % 6 == 0) return failoverPlan(number);
   Plan p;
   p.members = 2 + number % 4;
   p.leases = 1 + number / 4 % 2;
@@ -96,24 +95,30 @@
 
 int main(int argc, char** argv) {
   CLI::App app("Model test: a lease never has two valid holders.", "leases-model");
-  std::uint64_t seed = 1, only = 0;
-  std::size_t randomCount = 400'000, enumeratedCount = 100'000;
+  std::uint64_t seed = 1, only = 0, onlyFailover = 0;
+  std::size_t randomCount = 400'000, enumeratedCount = 100'000, failoverCount = 60'000;
   bool quick = false;
   app.add_option("--seed", seed, "seed of the random schedules");
-  app.add_flag("--quick", quick, "70,000 random and 40,000 enumerated schedules");
+  app.add_flag("--quick", quick, "70,000 random, 40,000 enumerated and 12,000 failover schedules");
   app.add_option("--drawn", randomCount, "number of random schedules");
   app.add_option("--enumerated", enumeratedCount, "number of enumerated schedules");
+  app.add_option("--failovers", failoverCount, "number of failover schedules");
   app.add_option("--only", only, "run one random schedule, by its number");
+  app.add_option("--only-failover", onlyFailover, "run one failover schedule, by its number");
   CLI11_PARSE(app, argc, argv);
   if (quick) {
     randomCount = 70'000;
     enumeratedCount = 40'000;
+    failoverCount = 12'000;
   }
   const auto runRandom = [&](std::uint64_t number, Totals* totals) {
     return runSchedule(randomPlan(number), Choices::randomized(seed * 1'000'003 + number), totals);
   };
-  if (only != 0) {
-    const auto violation = runRandom(only, nullptr);
+  const auto runFailover = [&](std::uint64_t number, Totals* totals) {
+    return runSchedule(failoverPlan(number), Choices::randomized(seed * 1'000'003 + number), totals);
+  };
+  if (only != 0 || onlyFailover != 0) {
+    const auto violation = only != 0 ? runRandom(only, nullptr) : runFailover(onlyFailover, nullptr);
     std::cout << (violation ? *violation : "holds") << std::endl;
     return violation ? 1 : 0;
   }
@@ -130,6 +135,7 @@
       violation = runRandom(number, nullptr);
       if (!violation && number <= enumeratedCount && number % 4 == 0)
         violation = runSchedule(enumeratedPlan(number), Choices::enumerated(number), nullptr);
+      if (!violation && number % 4 == 0) violation = runFailover(number, nullptr);
     }
     if (quilltide_mutant == 0) {
       if (violation) {
@@ -164,6 +170,14 @@
       holds = false;
     }
   }
+  for (std::uint64_t number = 1; number <= failoverCount && holds; ++number) {
+    if (const auto violation = runFailover(number, &totals)) {
+      std::cerr << "failover schedule " << number << ": " << *violation
+                << "\nrepeat with: leases-model --seed " << seed << " --only-failover " << number
+                << std::endl;
+      holds = false;
+    }
+  }
   out["schedules"] = totals.schedules;
   out["steps"] = totals.steps;
   out["grants"] = totals.grants;
--- a/verification/leases_world.hpp
+++ b/verification/leases_world.hpp
@@ -180,7 +180,8 @@
         : leaseClient(std::move(client)), selector(coordinatorIds(coordinators), 0) {}
     LeaseClient leaseClient;
     CoordinatorSelector selector;
-    std::map<std::uint64_t, std::size_t> asked;  // coordinator by request id, until the request ends
+    std::size_t anyCoordinator = 0;              // asked next, except in a failover
+    std::map<std::uint64_t, std::size_t> asked;  // coordinator by request id, in a failover
     std::set<std::string> guaranteedLeases;      // may not expire, see guaranteeLeases()
     double rate = 1;
     Micros offset = 0, pausedUntil = 0;
@@ -236,10 +237,12 @@
     if (m.pausedUntil > now_) return scheduleAt(m.pausedUntil, [this, i] { runMember(i); });
     const Micros clock = clockOf(m);
     for (LeaseClient::Request& request : m.leaseClient.takeRequests(clock)) {
-      const std::size_t to = m.selector.current();
-      m.asked[request.id] = to;
-      scheduleAfter(static_cast<Micros>(static_cast<double>(plan_.requestTimeout) / m.rate),
-                    [this, reply = Reply{i, request.id}] { timeOutRequest(reply); });
+      const std::size_t to = coordinatorFor(m);
+      if (plan_.failover) {
+        m.asked[request.id] = to;
+        scheduleAfter(static_cast<Micros>(static_cast<double>(plan_.requestTimeout) / m.rate),
+                      [this, reply = Reply{i, request.id}] { timeOutRequest(reply); });
+      }
       sendMessage(
           [this, i, to, request = std::move(request)] {
             receiveRequest(to, {i, request.id}, request.command);
@@ -295,6 +298,8 @@
                         [this, from, reply, namedLeader] { deliverFailure(from, reply, namedLeader); });
     if (m.asked.erase(reply.requestId) != 0)
       m.selector.recordFailure(from, namedLeader ? *namedLeader + 1 : 0);
+    m.anyCoordinator = choices_.isRandom() ? choices_.below(coordinators_.size()) : currentLeader_;
+    if (faultsEnded()) m.anyCoordinator = currentLeader_;
     m.leaseClient.handleFailure(reply.requestId, clockOf(m));
     runMember(reply.member);
   }
@@ -304,6 +309,12 @@
     if (at != members_[reply.member]->asked.end()) deliverFailure(at->second, reply, {});
   }
 
+  // No lease may be granted twice whichever coordinator is asked, so any one is asked; in a failover it is
+  // the one that a member would ask.
+  std::size_t coordinatorFor(const Member& m) const {
+    return plan_.failover ? m.selector.current() : m.anyCoordinator;
+  }
+
   void deliverResult(const Reply& reply, const Result& result) {
     Member& m = *members_[reply.member];
     if (m.pausedUntil > now_)
