Upstream: a log line and a counter for responses without a call

What was missing: a response on a connection without a call closed the connection and left no trace, so the logs could not tell a repeat taken for the next call's response from a lost retry. The line names status, target, connection, the call before and the one before that, the time since the response and since the request, and what was done.

--- a/src/upstream/http/http_upstream_client.cpp
+++ b/src/upstream/http/http_upstream_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdio>
+#include <iostream>
 #include <optional>
 #include <utility>
 
@@ -26,6 +27,7 @@
 constexpr int kMaxInterimResponses = 16;  // 1xx responses accepted before the final one
 constexpr int kMaxRetryAfterFactor = 10;  // limit of X-Retry-In-Ms, as a multiple of the longest deadline
 constexpr std::size_t kReadChunkBytes = 4 * 1024;
+constexpr std::size_t kPeekBytes = 64;  // holds a status line
 constexpr auto kIdleTimeoutMargin =
     std::chrono::milliseconds(500);  // keeps a request from crossing the target's own idle close
 
@@ -39,6 +41,23 @@
   return text;
 }
 
+// A call as the log names it.
+struct CallTrace {
+  std::string id;  // of its first message; empty: there was no such call
+  int attempt = 0;
+  Clock::time_point writtenAt{}, answeredAt{};
+};
+
+std::string describe(const CallTrace& call) {
+  return call.id.empty() ? "none" : call.id + '/' + std::to_string(call.attempt);
+}
+
+// Status of the response that begins with `text`; "?" if it is none.
+std::string statusIn(const std::string& text) {
+  const std::size_t space = text.find(' ');
+  return text.starts_with("HTTP/") && space != text.npos ? text.substr(space + 1, 3) : "?";
+}
+
 }  // namespace
 
 class HttpUpstreamClient::Connection {
@@ -54,13 +73,21 @@
   boost::beast::flat_buffer buffer;
   tcp::endpoint peer;
   Clock::time_point lastUsedAt = Clock::now();
-  int idleGeneration = 0;  // changes with each idle period; invalidates read waits of earlier ones
+  std::uint64_t number = 0;          // identifies the connection in the log
+  CallTrace lastCall, previousCall;  // for the log
+  int idleGeneration = 0;            // changes with each idle period; invalidates read waits of earlier ones
 
   // False if the peer has closed the connection or sent unsolicited data.
   bool isReusable() {
     const ssize_t n = peekByte();
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
+  // Start of the data that waits to be read, without consuming it.
+  std::string peekInput() {
+    char bytes[kPeekBytes];
+    const ssize_t n = ::recv(socket.native_handle(), bytes, sizeof bytes, MSG_PEEK | MSG_DONTWAIT);
+    return n > 0 ? std::string(bytes, static_cast<std::size_t>(n)) : std::string();
+  }
   // Whether there is data to read.
   bool hasInput() { return peekByte() > 0; }
   void close() {
@@ -106,6 +133,7 @@
     newConnection_ = true;
     connection_ = std::make_shared<Connection>(client_.io_, client_.connectionCount_);
     connection_->peer = address;
+    connection_->number = ++client_.lastConnectionNumber_;
     connectDeadline_ = startedAt_ + std::chrono::microseconds(client_.settings_.connectTimeout);
     armTimer();
     connection_->socket.async_connect(address, [this, self](error_code error) {
@@ -239,6 +267,9 @@
       if (error) return failUnreported();
     }
     stage_ = Stage::awaitingResponse;
+    connection_->previousCall = std::exchange(
+        connection_->lastCall,
+        {requests_[sentIndexes_.front()].id, requests_[sentIndexes_.front()].attempt, Clock::now(), {}});
     requestBytes_ = {};
     if (connection_->buffer.size() > 0) return readResponse();
     waitForResponse();
@@ -441,6 +472,7 @@
   void finish(const std::vector<MessageResult>& results, Micros retryAfter, bool reuse) {
     stage_ = Stage::finished;
     timer_.cancel();
+    connection_->lastCall.answeredAt = Clock::now();
     if (reuse) {
       error_code ignored;
       if (readWaitPending_) connection_->socket.cancel(ignored);
@@ -596,6 +628,7 @@
   connection->socket.async_wait(tcp::socket::wait_read,
                                 [this, alive = alive_, target, connection, idleGeneration](error_code) {
                                   if (!*alive || connection->idleGeneration != idleGeneration) return;
+                                  logUnsolicitedInput(target, *connection);
                                   connection->close();
                                   const auto pool = idleConnections_.find(target);
                                   if (pool == idleConnections_.end()) return;
@@ -605,6 +638,19 @@
   idleConnections_[target].push_back(std::move(connection));
 }
 
+void HttpUpstreamClient::logUnsolicitedInput(const TargetId& target, Connection& connection) {
+  const std::string input = connection.peekInput();
+  if (input.empty()) return;
+  ++extraResponses_;
+  const CallTrace& call = connection.lastCall;
+  std::cerr << "upstream: extra response " << statusIn(input) << " from " << target << " on connection "
+            << connection.number << ", " << elapsedSince(call.answeredAt) / 1'000
+            << " ms after the response and " << elapsedSince(call.writtenAt) / 1'000
+            << " ms after the request of " << describe(call)
+            << " (call before: " << describe(connection.previousCall) << "): connection closed, "
+            << extraResponses_ << " so far" << std::endl;
+}
+
 bool HttpUpstreamClient::evictOldestIdleConnection() {
   auto oldest = idleConnections_.end();
   for (auto pool = idleConnections_.begin(); pool != idleConnections_.end(); ++pool) {
--- a/src/upstream/http/http_upstream_client.hpp
+++ b/src/upstream/http/http_upstream_client.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -46,6 +47,8 @@
   std::size_t knownTargets() const { return targets_.size(); }
   // Number of connections in use, being established and idle.
   std::size_t connections() const { return connectionCount_; }
+  // Number of responses that arrived on a connection without a call. Each is logged.
+  std::uint64_t extraResponses() const { return extraResponses_; }
 
  private:
   struct KnownTarget {
@@ -61,6 +64,7 @@
   // Closes the least recently used idle connection, of any target. False if none is idle.
   bool evictOldestIdleConnection();
   void returnToPool(const TargetId& target, std::shared_ptr<Connection> connection);
+  void logUnsolicitedInput(const TargetId& target, Connection& connection);
   void removeExchange(const std::shared_ptr<Exchange>& exchange);
   // Reports the outcome from the event loop, after the current handler has returned.
   void postOutcome(Outcome outcome);
@@ -76,6 +80,7 @@
       idleConnections_;              // most recently used last; no vector is empty
   std::size_t connectionCount_ = 0;  // in use, being established and idle
   std::size_t maxConnections_;
+  std::uint64_t lastConnectionNumber_ = 0, extraResponses_ = 0;
   std::set<std::shared_ptr<Exchange>> exchanges_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
