--- a/stand-ins/partner.cpp
+++ b/stand-ins/partner.cpp
@@ -63,6 +63,7 @@
     : destination_(destination),
       effects_(effects),
       settings_(settings),
+      random_(settings.seed),
       server_(
           io, [this](const std::shared_ptr<HttpServer::Connection>& connection) { handle(connection); },
           listenEndpoint) {}
@@ -102,12 +103,27 @@
   return true;
 }
 
+void Partner::respond(const std::shared_ptr<HttpServer::Connection>& connection, int status,
+                      const std::string& body, const std::string& headers) {
+  const std::string response = HttpServer::formatResponse(status, body, headers);
+  connection->write(response);
+  connection->finishRequest();
+  const RepeatSettings& repeats = settings_.repeats;
+  if (!repeats.statuses.empty() && !repeats.statuses.contains(status)) return;
+  if (repeats.share == 0 || randomShare() >= repeats.share) return;
+  const double rangeMs = static_cast<double>((repeats.maxDelay - repeats.minDelay).count());
+  const auto delay = repeats.minDelay + milliseconds(static_cast<int>(rangeMs * randomShare()));
+  connection->runAfter(delay, [this, connection, response] {
+    ++repeatedResponses_;
+    connection->write(response);
+  });
+}
+
 void Partner::handle(const std::shared_ptr<HttpServer::Connection>& connection) {
   const auto& request = connection->request();
-  const auto respond = [connection](int status, const std::string& body = "",
-                                    const std::string& headers = "") {
-    connection->write(HttpServer::formatResponse(status, body, headers));
-    connection->finishRequest();
+  const auto respond = [this, connection](int status, const std::string& body = "",
+                                          const std::string& headers = "") {
+    this->respond(connection, status, body, headers);
   };
   std::vector<Item> items;
   if (request.target() == "/receive") {
@@ -146,8 +162,11 @@
   const Behavior callBehavior = firstBreaking == behaviors.end() ? Behavior::deliver : *firstBreaking;
   const bool reachesEffect =
       callBehavior != Behavior::hangBeforeEffect && callBehavior != Behavior::resetBeforeEffect;
-  connection->runAfter(settings_.responseDelay, [this, connection, respond, startRetryDelay, items, behaviors,
-                                                 callBehavior, reachesEffect] {
+  const auto responseDelay = settings_.responseDelay +
+                             milliseconds(static_cast<int>(
+                                 static_cast<double>(settings_.responseDelayRange.count()) * randomShare()));
+  connection->runAfter(responseDelay, [this, connection, respond, startRetryDelay, items, behaviors,
+                                       callBehavior, reachesEffect] {
     std::string lines;
     bool anyRateLimited = false;
     for (std::size_t i = 0; i < items.size(); ++i) {
--- a/stand-ins/partner.hpp
+++ b/stand-ins/partner.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,12 +35,22 @@
   malformedResponse,  // sends bytes that are not HTTP, after the effect
 };
 
+// Which responses are sent a second time on their connection.
+struct RepeatSettings {
+  double share = 0;                       // of the responses with these statuses
+  std::set<int> statuses;                 // empty: all
+  milliseconds minDelay{0}, maxDelay{0};  // after the response; equally distributed
+};
+
 struct PartnerSettings {
   milliseconds responseDelay{0};      // from the end of the request to the response
   std::size_t messagesPerWindow = 0;  // 0: no limit
   milliseconds window{1'000};
   bool sendsRetryDelay = true;            // over the limit: 429 with the time to the window's end, else 503
   milliseconds idempotencyKeyTtl{6'000};  // repeats of a key within this time have no effect
+  milliseconds responseDelayRange{0};     // added to responseDelay at random, equally distributed
+  RepeatSettings repeats{};
+  std::uint64_t seed = 1;  // of the random delays and repeats
 };
 
 struct Effect {
@@ -78,7 +89,10 @@
           PartnerSettings settings = {}, const tcp::endpoint& listenEndpoint = {processLoopbackAddress(), 0});
 
   void setScript(Script script) { script_ = std::move(script); }
-  void configure(const PartnerSettings& settings) { settings_ = settings; }
+  void configure(const PartnerSettings& settings) {
+    settings_ = settings;
+    random_.seed(settings.seed);
+  }
   // Resets all connections and refuses new ones until comeOnline().
   void goOffline();
   // Accepts connections again. The limit starts at `initialCapacityShare` of the configured one and grows
@@ -92,6 +106,8 @@
   std::size_t acceptedConnections() const { return server_.acceptedConnections(); }
   // Messages for which the script returned anything but Behavior::deliver.
   std::size_t injectedFaults() const { return injectedFaults_; }
+  // Responses that were sent a second time.
+  std::size_t repeatedResponses() const { return repeatedResponses_; }
   // Messages received during a retry delay, more than 100 ms after it was sent; the protocol forbids them.
   std::size_t messagesDuringRetryDelay() const { return messagesDuringRetryDelay_; }
   // Highest number of messages, refused ones included, received in one window during a warm-up.
@@ -102,6 +118,10 @@
     std::string id, key;
   };
   void handle(const std::shared_ptr<HttpServer::Connection>& connection);
+  // Writes a response, and schedules its repeat if the settings draw one.
+  void respond(const std::shared_ptr<HttpServer::Connection>& connection, int status, const std::string& body,
+               const std::string& headers);
+  double randomShare() { return std::uniform_real_distribution<double>()(random_); }
   bool admit(std::size_t messages);
   milliseconds timeUntilWindowEnds() const;
 
@@ -115,7 +135,8 @@
   double initialCapacityShare_ = 1;
   milliseconds warmUp_{0};
   std::size_t calls_ = 0, messages_ = 0, injectedFaults_ = 0, messagesDuringRetryDelay_ = 0,
-              peakWarmUpWindow_ = 0;
+              peakWarmUpWindow_ = 0, repeatedResponses_ = 0;
+  std::mt19937_64 random_;
   HttpServer server_;
 };
 
--- a/stand-ins/process.cpp
+++ b/stand-ins/process.cpp
@@ -59,19 +59,20 @@
 }
 
 void ForwarderProcess::writeConfiguration() {
-  const json config = {{"name", "n0"},
-                       {"listen", hostAndPort(respEndpoint_)},
-                       {"discovery", directoryAddress_},
-                       {"seed", "5"},
-                       {"limits",
-                        {{"sockets", options_.maxSockets},
-                         {"memory_mb", options_.maxMemoryMb},
-                         {"disk_mb", options_.maxDiskMb}}},
-                       {"known", knownTargets_},
-                       {"settings", platformSettings({{"statut", "safe", 1, 0.5, 24'000},
-                                                      {"ordre", "keyed", 2, 0.3, 16'000},
-                                                      {"paiement", "unsafe", 5, 0.4, 16'000}},
-                                                     options_.maxCallsInFlight, options_.maxOpenMessages)}};
+  json config = {{"name", "n0"},
+                 {"listen", hostAndPort(respEndpoint_)},
+                 {"discovery", directoryAddress_},
+                 {"seed", "5"},
+                 {"limits",
+                  {{"sockets", options_.maxSockets},
+                   {"memory_mb", options_.maxMemoryMb},
+                   {"disk_mb", options_.maxDiskMb}}},
+                 {"known", knownTargets_},
+                 {"settings", platformSettings({{"statut", "safe", 1, 0.5, 24'000},
+                                                {"ordre", "keyed", 2, 0.3, 16'000},
+                                                {"paiement", "unsafe", 5, 0.4, 16'000}},
+                                               options_.maxCallsInFlight, options_.maxOpenMessages)}};
+  config["settings"]["familyInfo"]["kindBatch"] = {options_.maxBatchSize};
   std::ofstream(folder_ + "/config.json") << config.dump(2) << "\n";
   std::ofstream(folder_ + "/thistleyoke.toml")
       << "[platform]\nconfig = \"" << folder_ << "/config.json\"\nstate = \"" << folder_ << "/state\"\n\n"
--- a/stand-ins/process.hpp
+++ b/stand-ins/process.hpp
@@ -23,6 +23,7 @@
     std::size_t maxHttpConnections = 0;
     int answerRetentionS = 600;
     std::size_t maxRetainedAnswers = 60'000;
+    int maxBatchSize = 1;  // messages in one call
   };
   // `knownTargets` is the snapshot of a Directory. Writes the configuration to a temporary folder, which the
   // destructor removes; throws std::runtime_error if it cannot be created.
