Discovery: a repeated older line of a watch does not undo newer ones

Cause: processUpdates() took a line of a lower revision as news and set its own revision back. Fix: within one watch a line below the revision in force is ignored and logged. The first line of a watch counts whatever its revision, as before: a discovery that was set up anew may number from the start. A repeat of the newest line says the same again.

--- a/src/directory/discovery.cpp
+++ b/src/directory/discovery.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <iostream>
+#include <utility>
 
 #include "directory/json_stream_splitter.hpp"
 
@@ -160,7 +161,7 @@
     armActivityTimeout(schedule_.onDataReceived());
     const bool keepAlive = result == JsonStreamSplitter::Result::blankLine;
     if (keepAlive && watchState->updateReceived) continue;
-    watchState->updateReceived = true;
+    const bool firstUpdate = !std::exchange(watchState->updateReceived, true);
     std::optional<DirectoryUpdate> update;
     try {
       // A keep-alive before any list means that the watch is established and nothing has changed.
@@ -169,6 +170,13 @@
     } catch (const std::exception& problem) {
       return handleFailure(problem.what());
     }
+    // Revisions of one watch do not decrease: this line was sent before, and newer changes are already in
+    // force.
+    if (!firstUpdate && update->revision < revision_) {
+      std::cerr << "discovery: ignored a repeated update of revision " << update->revision << ", revision "
+                << revision_ << " is in force" << std::endl;
+      continue;
+    }
     revision_ = update->revision;
     handleDirectory_(std::move(update));
     if (watchState->closed) return;
--- a/tests/push_test.cpp
+++ b/tests/push_test.cpp
@@ -36,6 +36,23 @@
   EXPECT_EQ(target.requests.size(), 1U);
 }
 
+// Guards against calls to a drained target: a repeat of the line that listed it as active brought it back.
+TEST_F(PushFixture, RepeatedOlderLineDoesNotBringADrainedTargetBack) {
+  FakeServer other(io, [](Link& link) { link.write(FakeServer::answer(200)); });
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  push(42, json::array({entry("t1", target.text()), entry("t2", other.text())}));
+  push(43, json::array({entry("t1", target.text(), "leaving")}));
+  push(42, json::array({entry("t1", target.text()), entry("t2", other.text())}));
+  pause(30);
+  for (int i = 1; i < 7; ++i) client->enqueue("m" + std::to_string(i), "safe");
+  ASSERT_TRUE(until([&] { return other.requests.size() + target.requests.size() == 6 && owed() == 0; }));
+  EXPECT_EQ(target.requests.size(), 0U);
+  discovery.watches.back()->reset();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 2; }));
+  EXPECT_EQ(discovery.server.requests.back().target(), "/discovery/hosts?watch=1&after=43");
+}
+
 // What the agent holds counts as told, so a watch that breaks is opened again well within a drain's grace,
 // however often it breaks, and from the version that was read last.
 TEST_F(PushFixture, OpensABrokenWatchAgainWithinADrainsGrace) {
