Notices: each post uses a connection of its own

What callers saw: nothing yet; found as a path related to the users' report. A repeated 204 acknowledged the next post on the kept connection; if that post was never read, its messages had no end.

Cause: the acknowledgement was told by its place on the connection alone. Fix: a new connection for each post, whose first response can only be its own; posts are at least 10 ms apart and take along all that waits, so that local ports do not run out. The first try has 100 ms, as a reused connection had, later ones 400 ms.

--- a/src/directory/notice_sender.cpp
+++ b/src/directory/notice_sender.cpp
@@ -6,7 +6,6 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 namespace quilltide::net {
 namespace {
@@ -18,8 +17,10 @@
 using tcp = asio::ip::tcp;
 
 // Short enough for a retry on a new connection before a notice is overdue, after 300 ms.
-constexpr auto kReusedConnectionTimeout = milliseconds(100);
-constexpr auto kNewConnectionTimeout = milliseconds(400);  // including the connect
+constexpr auto kFirstTimeout = milliseconds(100);  // including the connect
+constexpr auto kRetryTimeout = milliseconds(400);
+// Each post uses a connection of its own, whose local port stays reserved after the close.
+constexpr auto kMinPostInterval = milliseconds(10);
 constexpr int kMinRetryDelayMs = 20, kMaxRetryDelayMs = 250;
 constexpr std::size_t kMaxNoticesPerPost = 150;  // keeps the body below 64 KiB
 
@@ -30,8 +31,7 @@
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
   http::request<http::string_body> request;
-  std::optional<http::response_parser<http::string_body>> parser;
-  bool connected = false;
+  http::response<http::string_body> response;
 };
 
 NoticeSender::NoticeSender(asio::io_context& io, const tcp::endpoint& address,
@@ -69,8 +69,7 @@
 void NoticeSender::sendNext() {
   if (pending_.empty() || state_ != State::idle) return;
   state_ = State::posting;
-  if (!connection_) connection_ = std::make_shared<Connection>(io_);
-  auto connection = connection_;
+  const auto connection = connection_ = std::make_shared<Connection>(io_);
   postedCount_ = std::min(pending_.size(), kMaxNoticesPerPost);
   connection->request = {};
   connection->request.method(http::verb::post);
@@ -80,14 +79,10 @@
   connection->request.set(http::field::content_type, "application/x-ndjson");
   for (std::size_t i = 0; i < postedCount_; ++i) connection->request.body() += pending_[i].second;
   connection->request.prepare_payload();
-  connection->parser.emplace();
-  alarm_.armAfter(connection->connected ? kReusedConnectionTimeout : kNewConnectionTimeout,
-                  [this] { handleFailure(); });
-  if (connection->connected) return writeRequest();
+  alarm_.armAfter(consecutiveFailures_ == 0 ? kFirstTimeout : kRetryTimeout, [this] { handleFailure(); });
   connection->socket.async_connect(address_, [this, connection](error_code error) {
     if (connection != connection_) return;
     if (error) return handleFailure();
-    connection->connected = true;
     error_code ignored;
     connection->socket.set_option(tcp::no_delay(true), ignored);
     writeRequest();
@@ -100,10 +95,10 @@
                     [this, connection](error_code error, std::size_t) {
                       if (connection != connection_) return;
                       if (error) return handleFailure();
-                      http::async_read(connection->socket, connection->buffer, *connection->parser,
+                      http::async_read(connection->socket, connection->buffer, connection->response,
                                        [this, connection](error_code readError, std::size_t) {
                                          if (connection != connection_) return;
-                                         if (readError || connection->parser->get().result_int() != 204)
+                                         if (readError || connection->response.result_int() != 204)
                                            return handleFailure();
                                          handleAcknowledgement();
                                        });
@@ -119,27 +114,29 @@
 }
 
 void NoticeSender::handleAcknowledgement() {
-  alarm_.disarm();
-  state_ = State::idle;
   consecutiveFailures_ = 0;
-  if (!connection_->parser->keep_alive()) closeConnection();
+  closeConnection();
   std::vector<std::string> ids;
   for (std::size_t i = 0; i < postedCount_; ++i) ids.push_back(pending_[i].first);
   pending_.erase(pending_.begin(), pending_.begin() + static_cast<std::ptrdiff_t>(postedCount_));
   handleAcknowledged_(ids);
-  sendNext();
+  sendAfter(kMinPostInterval);
 }
 
-// The first failure may be due to a stale connection, so a new one is tried without delay.
+// The first failure may be due to a single lost connection, so another one is tried without delay.
 void NoticeSender::handleFailure() {
   closeConnection();
-  state_ = State::backingOff;
   const int delayMs =
       consecutiveFailures_ == 0
           ? 0
           : std::min(kMaxRetryDelayMs, kMinRetryDelayMs << std::min(consecutiveFailures_ - 1, 10));
   ++consecutiveFailures_;
-  alarm_.armAfter(milliseconds(delayMs), [this] {
+  sendAfter(milliseconds(delayMs));
+}
+
+void NoticeSender::sendAfter(milliseconds delay) {
+  state_ = State::pausing;
+  alarm_.armAfter(delay, [this] {
     state_ = State::idle;
     sendNext();
   });
--- a/src/directory/notice_sender.hpp
+++ b/src/directory/notice_sender.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -15,9 +16,10 @@
 
 namespace quilltide::net {
 
-// Sends one batch at a time over a persistent connection. A notice is overdue 300 ms after the end of its
-// message, so a reused connection that does not answer is replaced quickly and the batch is sent again;
-// notices may therefore be delivered more than once. Single-threaded, never blocks.
+// Sends one batch at a time, each over a new connection: the first response there acknowledges this batch,
+// and cannot be a repeat of an earlier one. A notice is overdue 300 ms after the end of its message, so a
+// connection that does not answer is replaced quickly and the batch is sent again; notices may therefore be
+// delivered more than once. Single-threaded, never blocks.
 class NoticeSender {
  public:
   // Receives the ids of the messages whose notices were acknowledged.
@@ -33,12 +35,13 @@
 
  private:
   struct Connection;
-  enum class State { idle, posting, backingOff };
+  enum class State { idle, posting, pausing };
 
   void sendNext();
   void writeRequest();
   void handleFailure();
   void handleAcknowledgement();
+  void sendAfter(std::chrono::milliseconds delay);
   void closeConnection();
 
   boost::asio::io_context& io_;
@@ -50,7 +53,7 @@
   std::size_t postedCount_ = 0;  // notices at the front of pending_ that are in the current post
   int consecutiveFailures_ = 0;
   std::shared_ptr<Connection> connection_;
-  clocks::Alarm alarm_;  // posting: response timeout; backingOff: next retry
+  clocks::Alarm alarm_;  // posting: response timeout; pausing: next post
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/repeated_responses_test.cpp
+++ b/tests/repeated_responses_test.cpp
@@ -185,6 +185,21 @@
   EXPECT_TRUE(endedInTime("killed", 2));
 }
 
+// Guards against a lost notice: a repeated 204 acknowledged a post that the platform never read.
+TEST_F(RepeatedResponsesTest, RepeatedAcknowledgementDoesNotAcknowledgeTheNextNotice) {
+  std::map<Link*, std::size_t> postsOn;
+  discovery.server.handler = [&](Link& link) {
+    const bool repeats = link.request.method() == http::verb::post && ++postsOn[&link] > 1;
+    repeats ? link.write("HTTP/1.1 204 No Content\r\n\r\n") : discovery.take(link);
+  };
+  target.handler = [](Link& link) { link.reset(); };
+  start();
+  for (const char* id : {"first", "second"}) {
+    submit(id, "unsafe");
+    EXPECT_TRUE(until([&] { return discovery.outcomeOf(id) == "given_up"; })) << id;
+  }
+}
+
 // A call that is answered once is delivered by one call and gets no notice.
 TEST_F(RepeatedResponsesTest, MessagesAnsweredOnceEndWithoutANotice) {
   startWithIdleConnection();
