Network: a short write does not stall its connection

What callers saw: 16 requests without an answer for 3 s where a third of the socket writes take one byte; a connection stopped until something else woke it.

Cause: Asio takes a write of fewer bytes than offered for a full buffer and waits for the edge at which there is room again. The buffer was never full, so that edge never comes. Fix: SocketWriter, the write stream of both frontends, of discovery and of the notices, writes on until EAGAIN. Calls to targets already did.

Test: SystemCallFaultsTest.ShortSocketWritesDoNotStallAConnection, the shipped program with a preloaded library of the tests. The coordinators' connections are as they were (ROADMAP).

--- a/src/directory/discovery.cpp
+++ b/src/directory/discovery.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "directory/json_stream_splitter.hpp"
+#include "net/socket_writer.hpp"
 
 namespace quilltide::net {
 namespace {
@@ -25,6 +26,7 @@
 struct Discovery::Watch {
   explicit Watch(asio::io_context& io) : socket(io), activityAlarm(io) { parser.body_limit(boost::none); }
   tcp::socket socket;
+  SocketWriter writer{socket};
   clocks::Alarm activityAlarm;
   boost::beast::flat_buffer buffer;
   http::request<http::empty_body> request;
@@ -100,11 +102,13 @@
   watchState->socket.async_connect(address_, [this, watchState](error_code error) {
     if (watchState->closed) return;
     if (error) return handleFailure("connect failed");
+    error_code ignored;
+    watchState->socket.non_blocking(true, ignored);
     watchState->request.method(http::verb::get);
     watchState->request.version(11);
     watchState->request.target("/discovery/hosts?watch=1&after=" + std::to_string(revision_));
     watchState->request.set(http::field::host, address_.address().to_string());
-    http::async_write(watchState->socket, watchState->request,
+    http::async_write(watchState->writer, watchState->request,
                       [this, watchState](error_code writeError, std::size_t) {
                         if (watchState->closed) return;
                         if (writeError) return handleFailure("writing the request failed");
--- a/src/directory/notice_sender.cpp
+++ b/src/directory/notice_sender.cpp
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "net/socket_writer.hpp"
+
 namespace quilltide::net {
 namespace {
 
@@ -29,6 +31,7 @@
 struct NoticeSender::Connection {
   explicit Connection(asio::io_context& io) : socket(io) {}
   tcp::socket socket;
+  SocketWriter writer{socket};
   boost::beast::flat_buffer buffer;
   http::request<http::string_body> request;
   http::response<http::string_body> response;
@@ -85,13 +88,14 @@
     if (error) return handleFailure();
     error_code ignored;
     connection->socket.set_option(tcp::no_delay(true), ignored);
+    connection->socket.non_blocking(true, ignored);
     writeRequest();
   });
 }
 
 void NoticeSender::writeRequest() {
   auto connection = connection_;
-  http::async_write(connection->socket, connection->request,
+  http::async_write(connection->writer, connection->request,
                     [this, connection](error_code error, std::size_t) {
                       if (connection != connection_) return;
                       if (error) return handleFailure();
--- a/src/frontend/http/http_frontend.cpp
+++ b/src/frontend/http/http_frontend.cpp
@@ -12,6 +12,7 @@
 
 #include "frontend/http/api.hpp"
 #include "frontend/listener/lingering.hpp"
+#include "net/socket_writer.hpp"
 
 namespace quilltide::net {
 namespace {
@@ -237,7 +238,7 @@
     if (!checkMemoryLimit()) return;
     if (header[http::field::expect].empty() || parser_->is_done() || buffer_.size() > 0) return readBody();
     static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(socket_, asio::buffer(kContinue),
+    asio::async_write(writer_, asio::buffer(kContinue),
                       [this, self = shared_from_this()](error_code error, std::size_t) {
                         if (closed_ || state_ != State::reading) return;
                         if (error) return close();
@@ -502,7 +503,7 @@
     }
     writing_ = true;
     runAfter(kWriteTimeout, [this] { close(); });
-    asio::async_write(socket_, asio::buffer(streamBuffer_),
+    asio::async_write(writer_, asio::buffer(streamBuffer_),
                       [this, self = shared_from_this()](error_code error, std::size_t) {
                         writing_ = false;
                         if (closed_) return;
@@ -569,7 +570,7 @@
     response_.body() = std::move(body);
     response_.prepare_payload();
     runAfter(kWriteTimeout, [this] { close(); });
-    http::async_write(socket_, response_,
+    http::async_write(writer_, response_,
                       [this, closeAfterResponse, self = shared_from_this()](error_code error, std::size_t) {
                         if (closed_) return;
                         if (error) return close();
@@ -601,6 +602,7 @@
   HttpFrontend* frontend_;
   Clients<Client>::iterator entry_;
   tcp::socket socket_;
+  SocketWriter writer_{socket_};
   asio::steady_timer timer_;
   State state_ = State::idle;
   Clock::time_point lastActivity_ = Clock::now();
--- a/src/frontend/resp/resp_frontend.cpp
+++ b/src/frontend/resp/resp_frontend.cpp
@@ -12,6 +12,7 @@
 
 #include "frontend/listener/lingering.hpp"
 #include "frontend/resp/request_reader.hpp"
+#include "net/socket_writer.hpp"
 
 namespace quilltide::net {
 namespace {
@@ -295,7 +296,7 @@
     writing_ = true;
     sending_.swap(outgoing_);
     outgoing_.clear();
-    asio::async_write(socket_, asio::buffer(sending_),
+    asio::async_write(writer_, asio::buffer(sending_),
                       [this, self = shared_from_this()](error_code error, std::size_t) {
                         writing_ = false;
                         if (closed_) return;
@@ -322,6 +323,7 @@
   RespFrontend* frontend_;
   Clients<Client>::iterator entry_;
   tcp::socket socket_;
+  SocketWriter writer_{socket_};
   RequestReader reader_;
   std::deque<std::optional<std::string>> replies_;  // in request order; empty until the reply is known
   std::size_t firstIndex_ = 0;
--- a/tests/net_fixture.hpp
+++ b/tests/net_fixture.hpp
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -293,6 +294,7 @@
     if (program != 0) return;
     ::setenv("PROXY_CONFIG", configPath().c_str(), 1);
     ::setenv("PROXY_STATE", folder.path().c_str(), 1);
+    for (const auto& [variable, value] : programEnvironment) ::setenv(variable.c_str(), value.c_str(), 1);
     if (productPath.empty()) ::execl(FORWARDER, FORWARDER, static_cast<char*>(nullptr));
     ::execl(FORWARDER, FORWARDER, "--config", productPath.c_str(), static_cast<char*>(nullptr));
     ::_exit(127);
@@ -326,6 +328,7 @@
   std::unique_ptr<Forwarder> forwarder;
   std::unique_ptr<FakeClient> client;
   std::string productPath;                                // of the program's --config; empty: none
+  std::map<std::string, std::string> programEnvironment;  // variables of the program, in addition to ours
   tcp::endpoint address;                                  // of the program's RESP2 frontend
   pid_t program = 0;
   int status = -1;
