Engine: a folder that cannot be written holds back no notice that is due

Cause: processEvents() sent notices and calls only after a successful commit. Fix: without a record on disk a notice goes out when its message's deadline is at most 100 ms away: the next process finds it expired and calls nothing, so that the notice stays true after a crash. A safe message is called without a record; keyed and unsafe ones wait for the disk or their time. New messages are refused with a wait, as before.

Tests: SystemCallFaultsTest, two tests. With the program before this fix no notice came within 5 s (six of six, bound 1.3 s) and the safe message was not called within 2 s; both pass. Writes that fail halfway, failing ftruncate, rename and open, and a failing folder at the start are not tested.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -12,6 +12,8 @@
 using boost::system::error_code;
 
 constexpr Micros kWriteRetryDelayUs = 50'000;
+constexpr Micros kNoticeLeadUs =
+    100'000;  // a notice is decided this long before the deadline at the earliest
 constexpr std::size_t kMaxLoggedUnknownNames = 32;      // each is logged once
 constexpr std::size_t kAcceptingOverheadBytes = 8'000;  // journal space per message in addition to its body
 
@@ -265,10 +267,7 @@
 void Engine::scheduleCommit() {
   if (std::exchange(commitPosted_, true)) return;
   boost::asio::post(io_, [this] {
-    if (commitPosted_ && !commit())
-      std::cerr
-          << "journal: the end of a message is not on disk yet; the write is retried with the next commit"
-          << std::endl;
+    if (commitPosted_ && !commit()) scheduleProcessing(steadyNow() + kWriteRetryDelayUs);
   });
 }
 
@@ -329,18 +328,15 @@
       committed ? Reply{Kind::acknowledged} : rejectForCapacity(settings_.maxRetryAfter);
   for (auto& [handle, accepting] : acceptedMessages)
     replies.emplace_back(acceptedReply, std::move(accepting.replies));
-  if (!committed) rollBack(acceptedMessages, calls);
+  if (!committed) calls = rollBack(acceptedMessages, calls);
   for (const auto& [reply, handlers] : replies) {
     for (const ReplyHandler& handler : handlers) handler(reply);
   }
-  if (committed) {
-    for (const std::string& id : std::exchange(unsentNotices_, {})) {
-      if (PendingMessage* message = journal_.find(id)) directory_->sendNotice(id, *message->notice);
-    }
+  if (!journal_.fenced()) {
+    sendNotices(committed);
     sendCalls(calls);
-  } else {
-    scheduleProcessing(now + kWriteRetryDelayUs);
   }
+  if (!committed) scheduleProcessing(now + kWriteRetryDelayUs);
 
   for (const Action& action : actions) {
     if (const auto* cancellation = std::get_if<CancelCall>(&action)) {
@@ -420,9 +416,13 @@
     if (allowed.back()) recordRecoveredProgress(request->handle, true);
   }
   if (std::find(allowed.begin(), allowed.end(), true) == allowed.end() || commit()) return allowed;
-  for (std::size_t i = 0; i < requests.size(); ++i)
-    if (allowed[i]) journal_.recordNotExecuted(*findByHandle(requests[i]->handle), requests[i]->attempt);
-  return std::vector<bool>(requests.size(), false);
+  for (std::size_t i = 0; i < requests.size(); ++i) {
+    PendingMessage* message = allowed[i] ? findByHandle(requests[i]->handle) : nullptr;
+    if (message == nullptr || mayCallWithoutRecord(*message)) continue;
+    journal_.recordNotExecuted(*message, requests[i]->attempt);
+    allowed[i] = false;
+  }
+  return allowed;
 }
 
 Effect Engine::effectOf(const PendingMessage& message) const {
@@ -467,9 +467,31 @@
   for (auto& [target, requests] : batches) upstream_->call(target, std::move(requests));
 }
 
-// The commit failed: the new messages are not accepted and the calls count as not executed.
-void Engine::rollBack(const std::map<MessageId, AcceptingMessage>& acceptedMessages,
-                      const std::vector<Call>& calls) {
+// Without a record on disk only the notices that are due are sent: the message cannot be called after a crash
+// then, because its deadline has passed when the next process starts.
+void Engine::sendNotices(bool recordsOnDisk) {
+  const Micros dueUntil = wallNow() + kNoticeLeadUs;
+  for (const std::string& id : std::exchange(unsentNotices_, {})) {
+    const PendingMessage* message = journal_.find(id);
+    if (message == nullptr) continue;
+    if (recordsOnDisk || message->deadline <= dueUntil) {
+      directory_->sendNotice(id, *message->notice);
+    } else {
+      unsentNotices_.push_back(id);
+    }
+  }
+}
+
+// After a crash, a call without a record would count as not started.
+bool Engine::mayCallWithoutRecord(const PendingMessage& message) const {
+  return !journal_.fenced() && effectOf(message) == Effect::safe;
+}
+
+// The commit failed: the new messages are not accepted, and the calls count as not executed. Returns those
+// that may be sent all the same.
+std::vector<Call> Engine::rollBack(const std::map<MessageId, AcceptingMessage>& acceptedMessages,
+                                   const std::vector<Call>& calls) {
+  std::vector<Call> sendable;
   for (const auto& [handle, accepting] : acceptedMessages) {
     idsByHandle_.erase(handle);
     attemptCounts_.erase(handle);
@@ -477,15 +499,21 @@
     events_.push_back(MessageEnded{handle});
   }
   for (const Call& call : calls) {
+    PendingMessage* message = findByHandle(call.id);
+    if (message != nullptr && mayCallWithoutRecord(*message)) {
+      sendable.push_back(call);
+      continue;
+    }
     const int number = attemptCounts_[call.id]++;
     Outcome outcome;
     outcome.id = call.id;
     outcome.attempt = number;
     outcome.target = call.target;
     outcome.callResult = CallResult::skipped;
-    if (PendingMessage* message = findByHandle(call.id)) journal_.recordNotExecuted(*message, number);
+    if (message != nullptr) journal_.recordNotExecuted(*message, number);
     events_.push_back(outcome);
   }
+  return sendable;
 }
 
 void Engine::removeMessage(const std::string& idReference) {
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -111,8 +111,10 @@
   Effect effectOf(const PendingMessage& message) const;
   bool canShareCall(const UpstreamRequest& first, const UpstreamRequest& second) const;
   void sendCalls(const std::vector<Call>& calls);
-  void rollBack(const std::map<MessageId, AcceptingMessage>& acceptedMessages,
-                const std::vector<Call>& calls);
+  std::vector<Call> rollBack(const std::map<MessageId, AcceptingMessage>& acceptedMessages,
+                             const std::vector<Call>& calls);
+  void sendNotices(bool recordsOnDisk);
+  bool mayCallWithoutRecord(const PendingMessage& message) const;
   void removeMessage(const std::string& id);
   PendingMessage* findByHandle(MessageId handle);
   MessageId allocateHandle(const std::string& id);
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -16,6 +16,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <stdexcept>
+#include <utility>
 
 namespace quilltide::net {
 namespace {
@@ -396,15 +397,22 @@
   }
   const int error = errno;
   if (::ftruncate(file_, static_cast<off_t>(fileBytes_)) != 0) rewriteNeeded_ = true;
-  std::cerr << "journal: write failed: " << std::strerror(error) << std::endl;
+  logFailure("write failed", error);
   return false;
 }
 
+void Journal::logFailure(const char* what, int error) {
+  if (std::exchange(failing_, true)) return;
+  std::cerr << "journal: " << what << ": " << std::strerror(error) << "; retried until it succeeds"
+            << std::endl;
+}
+
 // Ownership is checked after the write: only then may the caller act on what was written (see Ownership).
 bool Journal::commit() {
   if (fenced_) return false;
   if (uncommitted_.empty() && !rewriteNeeded_) return true;
   const bool success = writeUncommitted();
+  if (success && std::exchange(failing_, false)) std::cerr << "journal: writes succeed again" << std::endl;
   fenced_ = ownership_ && !ownership_->isCurrentOwner();
   return success && !fenced_;
 }
@@ -441,13 +449,16 @@
   for (const FinalOutcome& outcome : outcomes_) content += frame(outcomeRecord(outcome));
   const std::string temporaryPath = path_ + ".new";
   if (fileBytes_ + content.size() > diskBytes_) {
-    std::cerr << "journal: disk limit leaves no space for compaction" << std::endl;
+    logFailure("the disk limit leaves no space for compaction", ENOSPC);
     return false;
   }
   const int newFile = ::open(temporaryPath.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC | O_APPEND, 0644);
-  if (newFile < 0) return false;
+  if (newFile < 0) {
+    logFailure("compaction failed", errno);
+    return false;
+  }
   if (!writeAll(newFile, content) || ::rename(temporaryPath.c_str(), path_.c_str()) != 0) {
-    std::cerr << "journal: compaction failed: " << std::strerror(errno) << std::endl;
+    logFailure("compaction failed", errno);
     ::close(newFile);
     ::unlink(temporaryPath.c_str());
     return false;
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -149,6 +149,8 @@
   void appendRecord(const std::string& payload);
   bool appendToFile(const std::string& bytes);
   bool compact();
+  // Logs the first failure of a series; `error` is an errno.
+  void logFailure(const char* what, int error);
   void rememberEnded(const std::string& id, const Digest& digest);
   void retainOutcome(FinalOutcome outcome);
 
@@ -160,6 +162,7 @@
   std::size_t fileBytes_ = 0;
   std::size_t reservedBytes_ = 0;  // upper bound of the space that pending messages need in one file
   std::string uncommitted_;
+  bool failing_ = false;        // the last commit failed, and that was logged
   bool rewriteNeeded_ = false;  // the file is incomplete and must be replaced by compaction
   std::unordered_map<std::string, std::unique_ptr<PendingMessage>> pendingMessages_;
   std::unordered_map<std::string, Digest> endedDigests_;
--- a/tests/system_call_faults_test.cpp
+++ b/tests/system_call_faults_test.cpp
@@ -39,5 +39,41 @@
   }
 }
 
+// Guards against notices that wait until the disk can be written again.
+TEST_F(SystemCallFaultsTest, NoticesAreSentInTimeWhileTheFolderCannotBeWritten) {
+  constexpr int kTimeToLiveMs = 1'000, kNoticeGraceMs = 300;
+  target.handler = [](Link&) {};
+  startProgram();
+  for (const int error : {ENOSPC, EIO}) {
+    faults->fileWriteError = 0;
+    const auto acceptedAt = Clock::now();
+    for (const char* messageClass : {"safe", "keyed", "unsafe"}) {
+      client->enqueue(messageClass + std::to_string(error), messageClass, kTimeToLiveMs);
+      ASSERT_EQ(client->line(), "+OK");
+    }
+    pause(100);
+    faults->fileWriteError = error;
+    for (const char* messageClass : {"safe", "keyed", "unsafe"})
+      EXPECT_TRUE(until([&] { return !discovery.outcomeOf(messageClass + std::to_string(error)).empty(); }));
+    EXPECT_LT(Clock::now() - acceptedAt, milliseconds(kTimeToLiveMs + kNoticeGraceMs));
+  }
+}
+
+// Guards against a standstill: a call for a safe message needs no record, since repeating it does no harm.
+TEST_F(SystemCallFaultsTest, SafeMessagesAreRetriedWhileTheFolderCannotBeWritten) {
+  bool answers = false;
+  target.handler = [&](Link& link) { link.write(FakeServer::answer(answers ? 200 : 503)); };
+  startProgram();
+  client->enqueue("m1", "safe", 4'000);
+  ASSERT_EQ(client->line(), "+OK");
+  ASSERT_TRUE(until([&] { return target.requests.size() == 1; }));
+  faults->fileWriteError = ENOSPC;
+  answers = true;
+  const std::size_t callsBefore = target.requests.size();
+  EXPECT_TRUE(loops.until([&] { return target.requests.size() > callsBefore; }, milliseconds(2'000)));
+  client->enqueue("m2", "safe", 4'000);
+  EXPECT_EQ(client->line().substr(0, 5), "-BUSY");
+}
+
 }  // namespace
 }  // namespace quilltide::net::fixtures
