Time: deadlines and attempts follow the monotonic clock, across restarts too

Within a life a step forward made a call's time-out 1 us and its X-Deadline 0.001, a step back made it an hour.

Cause: deadlines and send times were wall time. Fix: in memory they are monotonic. A record holds both clocks and the boot: on the same boot the monotonic time counts, after a reboot the wall time, then with at most the longest time to live. The wall time stands where it stood, the new fields behind it: journals of the former version are read, and it reads these.

Not done: the retention of outcomes still goes by the wall clock, the engine still has clock functions of its own, the coordinators' terms were not looked at.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -79,7 +79,7 @@
 
 // An attempt without a recorded result may have been executed by its target, and counts as an attempt.
 void Engine::recoverMessages() {
-  const Micros wallTime = wallNow();
+  const Micros wallTime = wallNow(), now = steadyNow();
   std::size_t resumed = 0;
   for (auto& [id, message] : journal_.pendingMessages()) {
     message->handle = allocateHandle(id);
@@ -95,15 +95,17 @@
     arrival.id = message->handle;
     arrival.messageClass = message->messageClass;
     arrival.destination = message->destination;
-    arrival.timeLeft = std::max<Micros>(0, message->deadline - wallTime);
+    // After a reboot the wall clock may have been stepped: no message has more time than its class allows.
+    arrival.timeLeft = std::clamp<Micros>(message->deadline - now, 0, kMaxTimeToLiveUs);
+    message->deadline = now + arrival.timeLeft;
     RecoveredState recoveredState;
     for (const auto& [number, attempt] : message->attempts) {
       recoveredState.attempts = std::max(recoveredState.attempts, number + 1);
       if (attempt.notExecuted ||
-          (recoveredState.mayHaveRun && attempt.sentAt >= wallTime - recoveredState.uncertainAttemptAge))
+          (recoveredState.mayHaveRun && attempt.sentAt >= now - recoveredState.uncertainAttemptAge))
         continue;
       recoveredState.mayHaveRun = true;
-      recoveredState.uncertainAttemptAge = std::max<Micros>(0, wallTime - attempt.sentAt);
+      recoveredState.uncertainAttemptAge = std::max<Micros>(0, now - attempt.sentAt);
       recoveredState.uncertainAttemptTarget = attempt.target;
     }
     attemptCounts_[message->handle] = recoveredState.attempts;
@@ -161,7 +163,7 @@
   acceptingById_[message.id] = arrival.id;
   AcceptingMessage& entry = accepting_[arrival.id];
   acceptingBytes_ += message.body.size() + kAcceptingOverheadBytes;
-  entry.deadline = message.timeToLive + wallNow();
+  entry.deadline = message.timeToLive + steadyNow();
   entry.digest = digest;
   entry.message = std::move(message);
   entry.replies.push_back(std::move(handler));
@@ -406,13 +408,13 @@
 // attempted.
 std::vector<bool> Engine::authorizeSend(const TargetId& target,
                                         const std::vector<const UpstreamRequest*>& requests) {
-  const Micros now = steadyNow(), wallTime = wallNow();
+  const Micros now = steadyNow();
   std::vector<bool> allowed;
   for (const UpstreamRequest* request : requests) {
     PendingMessage* message = findByHandle(request->handle);
     allowed.push_back(message != nullptr && !message->notice &&
                       sender_.maySend(now, request->handle, target));
-    if (allowed.back()) journal_.recordAttempt(*message, request->attempt, target, wallTime);
+    if (allowed.back()) journal_.recordAttempt(*message, request->attempt, target, now);
     if (allowed.back()) recordRecoveredProgress(request->handle, true);
   }
   if (std::find(allowed.begin(), allowed.end(), true) == allowed.end() || commit()) return allowed;
@@ -442,7 +444,7 @@
   std::vector<std::pair<TargetId, std::vector<UpstreamRequest>>> batches;
   for (const Call& call : calls) {
     const PendingMessage& message = *findByHandle(call.id);
-    const Micros timeLeft = std::max<Micros>(1, message.deadline - wallNow());
+    const Micros timeLeft = std::max<Micros>(1, message.deadline - steadyNow());
     UpstreamRequest request;
     request.handle = call.id;
     request.attempt = attemptCounts_[call.id]++;
@@ -470,7 +472,7 @@
 // Without a record on disk only the notices that are due are sent: the message cannot be called after a crash
 // then, because its deadline has passed when the next process starts.
 void Engine::sendNotices(bool recordsOnDisk) {
-  const Micros dueUntil = wallNow() + kNoticeLeadUs;
+  const Micros dueUntil = steadyNow() + kNoticeLeadUs;
   for (const std::string& id : std::exchange(unsentNotices_, {})) {
     const PendingMessage* message = journal_.find(id);
     if (message == nullptr) continue;
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -90,7 +90,7 @@
   struct AcceptingMessage {
     Submission message;
     Digest digest;
-    Micros deadline = 0;  // wall clock
+    Micros deadline = 0;  // monotonic clock
     std::vector<ReplyHandler> replies;
   };
 
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/crc.hpp>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <fstream>
 #include <iostream>
@@ -69,13 +70,18 @@
   return {bytes.begin(), bytes.end()};
 }
 
-// Ids and keys may contain arbitrary bytes, so they are stored as binary strings.
-std::string acceptRecord(const PendingMessage& message) {
-  return encode(json::array({"accept", toBinary(message.id), toBinary(message.key), toBinary(message.body),
-                             message.messageClass, message.destination, message.deadline}));
+// Ids and keys may contain arbitrary bytes, so they are stored as binary strings. A time is stored by the
+// wall clock, which all versions read, and behind that by the monotonic clock with its boot.
+std::string acceptRecord(const PendingMessage& message, const ClockReading& clocks) {
+  return encode(
+      json::array({"accept", toBinary(message.id), toBinary(message.key), toBinary(message.body),
+                   message.messageClass, message.destination,
+                   message.deadline - clocks.monotonic + clocks.wall, message.deadline, clocks.boot}));
 }
-std::string attemptRecord(const std::string& id, int number, const Attempt& attempt) {
-  return encode(json::array({"attempt", toBinary(id), number, attempt.target, attempt.sentAt}));
+std::string attemptRecord(const std::string& id, int number, const Attempt& attempt,
+                          const ClockReading& clocks) {
+  return encode(json::array({"attempt", toBinary(id), number, attempt.target,
+                             attempt.sentAt - clocks.monotonic + clocks.wall, attempt.sentAt, clocks.boot}));
 }
 std::string notExecutedRecord(const std::string& id, int number) {
   return encode(json::array({"never_ran", toBinary(id), number}));
@@ -119,6 +125,20 @@
 
 }  // namespace
 
+ClockReading readClocks() {
+  const auto microseconds = [](auto duration) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+  };
+  static const std::uint64_t boot = [] {
+    std::ifstream input("/proc/sys/kernel/random/boot_id");
+    std::string text;
+    std::getline(input, text);
+    return XXH3_64bits(text.data(), text.size());
+  }();
+  return {microseconds(std::chrono::system_clock::now().time_since_epoch()),
+          microseconds(std::chrono::steady_clock::now().time_since_epoch()), boot};
+}
+
 Digest digestOf(int messageClass, std::int64_t destination, const std::string& key, const std::string& body) {
   XXH3_state_t state;
   XXH3_128bits_reset(&state);
@@ -191,6 +211,10 @@
   durablePosition_ = lastPosition_;
 }
 
+Micros Journal::restoreTime(Micros wall, Micros monotonic, std::uint64_t boot) const {
+  return boot == openedAt_.boot ? monotonic : wall - openedAt_.wall + openedAt_.monotonic;
+}
+
 void Journal::applyRecord(const std::string& payload) {
   const json record = json::from_cbor(payload);
   const std::string type = record.at(0).get<std::string>();
@@ -202,7 +226,10 @@
     message->body = fromBinary(record.at(3));
     message->messageClass = record.at(4).get<int>();
     message->destination = record.at(5).get<std::int64_t>();
-    message->deadline = record.at(6).get<Micros>();
+    const bool hasMonotonicTime = record.size() > 8;
+    message->deadline =
+        restoreTime(record.at(6).get<Micros>(), hasMonotonicTime ? record.at(7).get<Micros>() : 0,
+                    hasMonotonicTime ? record.at(8).get<std::uint64_t>() : 0);
     message->digest = net::digestOf(message->messageClass, message->destination, message->key, message->body);
     reservedBytes_ += maxMessageBytes(*message);
     pendingMessages_[id] = std::move(message);
@@ -239,8 +266,11 @@
   PendingMessage* message = find(id);
   if (message == nullptr) return;
   if (type == "attempt") {
-    message->attempts[record.at(2).get<int>()] = {record.at(3).get<std::string>(), record.at(4).get<Micros>(),
-                                                  false};
+    const bool hasMonotonicTime = record.size() > 6;
+    const Micros sentAt =
+        restoreTime(record.at(4).get<Micros>(), hasMonotonicTime ? record.at(5).get<Micros>() : 0,
+                    hasMonotonicTime ? record.at(6).get<std::uint64_t>() : 0);
+    message->attempts[record.at(2).get<int>()] = {record.at(3).get<std::string>(), sentAt, false};
   } else if (type == "never_ran") {
     message->attempts[record.at(2).get<int>()].notExecuted = true;
   } else if (type == "owe") {
@@ -350,16 +380,16 @@
 void Journal::appendRecord(const std::string& payload) { uncommitted_ += frame(payload); }
 
 PendingMessage& Journal::accept(PendingMessage message) {
-  appendRecord(acceptRecord(message));
+  appendRecord(acceptRecord(message, readClocks()));
   reservedBytes_ += maxMessageBytes(message);
   auto& entry = pendingMessages_[message.id];
   entry = std::make_unique<PendingMessage>(std::move(message));
   return *entry;
 }
 
-void Journal::recordAttempt(PendingMessage& message, int number, const TargetId& target, Micros wallNow) {
-  Attempt& attempt = message.attempts[number] = {target, wallNow, false};
-  appendRecord(attemptRecord(message.id, number, attempt));
+void Journal::recordAttempt(PendingMessage& message, int number, const TargetId& target, Micros now) {
+  Attempt& attempt = message.attempts[number] = {target, now, false};
+  appendRecord(attemptRecord(message.id, number, attempt, readClocks()));
 }
 
 void Journal::recordNotExecuted(PendingMessage& message, int number) {
@@ -437,10 +467,11 @@
 
 bool Journal::compact() {
   std::string content;
+  const ClockReading clocks = readClocks();
   for (const auto& [id, message] : pendingMessages_) {
-    content += frame(acceptRecord(*message));
+    content += frame(acceptRecord(*message, clocks));
     for (const auto& [number, attempt] : message->attempts) {
-      content += frame(attemptRecord(id, number, attempt));
+      content += frame(attemptRecord(id, number, attempt, clocks));
       if (attempt.notExecuted) content += frame(notExecutedRecord(id, number));
     }
     if (message->notice) content += frame(noticeRecord(id, *message->notice));
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -19,7 +19,7 @@
 // One call of a message.
 struct Attempt {
   TargetId target;
-  Micros sentAt = 0;         // wall clock
+  Micros sentAt = 0;         // monotonic clock of this boot
   bool notExecuted = false;  // the target is known not to have executed it
 };
 
@@ -69,12 +69,20 @@
   MessageId handle = 0;
   int messageClass = 0;
   std::int64_t destination = 0;
-  Micros deadline = 0;  // wall clock
+  Micros deadline = 0;  // monotonic clock of this boot
   std::map<int, Attempt> attempts;
   std::optional<Notice> notice;
   Digest digest;
 };
 
+// Both clocks at one moment. Times in memory are monotonic, so that steps of the wall clock do not move them;
+// records hold both, and after a reboot, when the monotonic clock has started anew, the wall clock counts.
+struct ClockReading {
+  Micros wall = 0, monotonic = 0;
+  std::uint64_t boot = 0;  // identifies the boot of the machine that `monotonic` belongs to
+};
+ClockReading readClocks();
+
 // Not thread-safe. File operations block.
 class Journal {
  public:
@@ -94,7 +102,7 @@
   // Each of these functions changes the state in memory at once; the change is on disk after the next
   // successful commit().
   PendingMessage& accept(PendingMessage message);
-  void recordAttempt(PendingMessage& message, int number, const TargetId& target, Micros wallNow);
+  void recordAttempt(PendingMessage& message, int number, const TargetId& target, Micros now);
   void recordNotExecuted(PendingMessage& message, int number);
   void recordNotice(PendingMessage& message, const Notice& notice);
   void recordEnd(const std::string& id);
@@ -143,6 +151,8 @@
   std::size_t fileBytes() const { return fileBytes_; }
 
  private:
+  // Reads a time that was recorded by both clocks, as one of the monotonic clock of this boot.
+  Micros restoreTime(Micros wall, Micros monotonic, std::uint64_t boot) const;
   void replay(const std::string& path, bool truncateTornTail);
   bool writeUncommitted();
   void applyRecord(const std::string& payload);
@@ -154,6 +164,7 @@
   void rememberEnded(const std::string& id, const Digest& digest);
   void retainOutcome(FinalOutcome outcome);
 
+  const ClockReading openedAt_ = readClocks();
   std::unique_ptr<Ownership> ownership_;
   bool fenced_ = false;
   std::string path_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -461,7 +461,7 @@
     m.id = "tried";
     m.destination = 7;
     m.deadline = std::chrono::duration_cast<std::chrono::microseconds>(
-                     std::chrono::system_clock::now().time_since_epoch())
+                     std::chrono::steady_clock::now().time_since_epoch())
                      .count() +
                  8'000'000;
     PendingMessage& owed = journal.accept(m);
--- a/tests/shims/system_call_faults.cpp
+++ b/tests/shims/system_call_faults.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/uio.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -69,6 +70,13 @@
   return real(socket, &shortened, flags);
 }
 
+int clock_gettime(clockid_t clock, timespec* now) {
+  static const auto real = next<decltype(clock_gettime)>("clock_gettime");
+  const int result = real(clock, now);
+  if (clock == CLOCK_REALTIME && control() != nullptr) now->tv_sec += control()->wallClockOffsetS.load();
+  return result;
+}
+
 ssize_t write(int file, const void* data, size_t size) {
   static const auto real = next<decltype(write)>("write");
   if (const int error = fileWriteError(file); error != 0) {
--- a/tests/system_call_faults_test.cpp
+++ b/tests/system_call_faults_test.cpp
@@ -75,5 +75,51 @@
   EXPECT_EQ(client->line().substr(0, 5), "-BUSY");
 }
 
+// Guards against deadlines that follow a step of the wall clock: after a restart messages ended at once, or
+// never.
+TEST_F(SystemCallFaultsTest, DeadlinesSurviveAStepOfTheWallClockAndARestart) {
+  constexpr int kTimeToLiveMs = 2'000, kEarliestEndMs = 1'500, kGraceAfterReadyMs = 1'500;
+  config["known"]["targets"] = json::array({entry("t1", target.text(), "leaving")});  // takes nothing new
+  for (const int offsetS : {-3'600, 3'600}) {
+    SCOPED_TRACE(offsetS);
+    const std::string id = "step" + std::to_string(offsetS);
+    faults->wallClockOffsetS = 0;
+    startProgram();
+    const auto acceptedAt = Clock::now();
+    client->enqueue(id, "safe", kTimeToLiveMs);
+    ASSERT_EQ(client->line(), "+OK");
+    faults->wallClockOffsetS = offsetS;
+    ::kill(program, SIGKILL);
+    ASSERT_TRUE(until([&] { return programEnded(); }));
+    startProgram();
+    EXPECT_TRUE(until([&] { return !discovery.outcomeOf(id).empty(); }));
+    EXPECT_GT(Clock::now() - acceptedAt, milliseconds(kEarliestEndMs));
+    EXPECT_LT(Clock::now() - acceptedAt, milliseconds(kTimeToLiveMs + kGraceAfterReadyMs));
+    ::kill(program, SIGKILL);
+    ASSERT_TRUE(until([&] { return programEnded(); }));
+  }
+}
+
+// Guards against time-outs of 1 us, and of an hour, after a step of the wall clock.
+TEST_F(SystemCallFaultsTest, StepOfTheWallClockDoesNotChangeTheTimeLeftForACall) {
+  std::vector<double> deadlines;
+  target.handler = [&](Link& link) {
+    deadlines.push_back(std::stod(std::string(link.request["X-Deadline"])));
+    link.write(FakeServer::answer(deadlines.size() % 2 == 1 ? 503 : 200));
+  };
+  startProgram();
+  for (const int offsetS : {-3'600, 3'600}) {
+    const std::size_t callsBefore = deadlines.size();
+    faults->wallClockOffsetS = 0;
+    client->enqueue("call" + std::to_string(offsetS), "unsafe", 4'000);
+    ASSERT_EQ(client->line(), "+OK");
+    ASSERT_TRUE(until([&] { return deadlines.size() == callsBefore + 1; }));
+    faults->wallClockOffsetS = offsetS;
+    ASSERT_TRUE(until([&] { return deadlines.size() == callsBefore + 2; }));
+    EXPECT_GT(deadlines.back(), 1.0);
+    EXPECT_LT(deadlines.back(), 4.0);
+  }
+}
+
 }  // namespace
 }  // namespace quilltide::net::fixtures
