--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -17,16 +17,23 @@
 // mean duration of a call.
 constexpr double kTicketGrowthFactor = 1.5;
 constexpr double kTripErrorCount = 5;
+// Any load brings a few errors, so their share of the calls counts as well.
 constexpr double kTripErrorShare = 0.5;
 constexpr int kTripConsecutiveRejectionCount = 5;
+// Senders with few calls never reach the error count within the window.
 constexpr int kTripConsecutiveFailureCount = 2;
+// Long enough for five calls of a slow destination.
 constexpr double kWindowSoftDeadlineFactor = 4;
 
+// Several probes fit into one soft deadline.
 constexpr double kFirstOpenProbeIntervalFactor = 0.4;
+// Long outages cost few calls.
 constexpr double kOpenDurationGrowthFactor = 1.5;
 
+// So many probes of the whole fleet harm no destination.
 constexpr double kFleetProbesPerSoftDeadline = 4;
 
+// So few senders learn fast enough alone and fill no connection table.
 constexpr int kSmallFleetMaxSenders = 4;
 
 // The directory needs about this long to answer one watch request.
@@ -41,7 +48,10 @@
 constexpr double kProbeJitterShare = 0.2;
 
 constexpr double kOverdueDurationFactor = 6;
+// Shorter delays may come from a busy machine.
 constexpr double kMinOverdueSoftDeadlineFactor = 0.1;
+// A time-out throws work away, so it lies well past the overdue limit, and past two soft deadlines, since a
+// late delivery still has some value.
 constexpr double kTimeoutDurationFactor = 12;
 constexpr double kExpectedResponseDurationFactor = 2;
 constexpr double kMinExpectedResponseSoftDeadlineFactor = 0.04;
@@ -65,6 +75,7 @@
 // In a large fleet the rate limit is a share of the arrival rate, since a single sender sees too few
 // responses to estimate an absolute limit.
 constexpr double kRateShareCutFactor = 0.6;
+// Lower where calls carry several messages: those that are held go with the next call.
 constexpr double kBatchRateShareCutFactor = 0.4;
 constexpr double kConnectionRateShareCutFactor = 0.85;
 
@@ -100,6 +111,7 @@
 
 // A destination that loses more than this share of its calls while it answers others counts as lossy.
 constexpr double kLossyShare = 0.05;
+// A single loss may be due to one dead connection.
 constexpr double kMinLostCount = 1.5;
 constexpr double kMinCallsForLossShare = 5;
 // Probability with which random losses alone may open a breaker.
@@ -115,6 +127,7 @@
 
 // Time that a call needs before the shutdown of the sender, by effect of its message.
 constexpr double kShutdownDurationFactor = 2;
+// An unknown end would be the last one of an unsafe message.
 constexpr double kShutdownUnsafeDurationFactor = 6;
 
 // Result of the admission check of a circuit.
