--- a/src/net/socket_writer.hpp
+++ b/src/net/socket_writer.hpp
@@ -16,6 +16,7 @@
 class SocketWriter {
  public:
   using Socket = boost::asio::ip::tcp::socket;
+  // NOLINTBEGIN(readability-identifier-naming): the names of Asio's requirements on write streams
   using executor_type = Socket::executor_type;
 
   explicit SocketWriter(Socket& socket) : socket_(socket) {}
@@ -28,6 +29,7 @@
     return boost::asio::async_compose<Handler, void(boost::system::error_code, std::size_t)>(
         WriteOperation<Buffers>{socket_, buffers}, handler, socket_);
   }
+  // NOLINTEND(readability-identifier-naming)
 
  private:
   template <typename Buffers>
