Requests to coordinators: a connection for each request is taken back; known failure

It concerns reads, long polls and the peers' reports, not leases, and nothing on the platform, where coordinators are off.

--- a/src/fleet/link/json_call.cpp
+++ b/src/fleet/link/json_call.cpp
@@ -22,12 +22,14 @@
   explicit Connection(boost::asio::io_context& io) : io(io) {}
 
   void connectAndSend() {
+    if (stream && stream->socket().is_open() && connectedTo == to) return write();
     stream.emplace(io);
     buffer.clear();
     stream->expires_at(deadline);
     stream->async_connect(to, [self = shared_from_this(), callNumber = callNumber](error_code error) {
       if (callNumber != self->callNumber) return;
       if (error) return self->end(0, {});
+      self->connectedTo = self->to;
       error_code ignored;
       self->stream->socket().set_option(tcp::no_delay(true), ignored);
       self->write();
@@ -39,7 +41,7 @@
     http::async_write(*stream, request,
                       [self = shared_from_this(), callNumber = callNumber](error_code error, std::size_t) {
                         if (callNumber != self->callNumber) return;
-                        if (error) return self->end(0, {});
+                        if (error) return self->retryOnNewConnection();
                         self->read();
                       });
   }
@@ -50,14 +52,24 @@
     http::async_read(*stream, buffer, *parser,
                      [self = shared_from_this(), callNumber = callNumber](error_code error, std::size_t) {
                        if (callNumber != self->callNumber) return;
-                       if (error) return self->end(0, {});
+                       if (error) return self->retryOnNewConnection();
                        const auto& response = self->parser->get();
                        nlohmann::json body = nlohmann::json::parse(response.body(), nullptr, false);
                        const int status = body.is_discarded() ? 0 : response.result_int();
+                       if (!response.keep_alive() || status == 0) self->close();
                        self->end(status, std::move(body));
                      });
   }
 
+  // The server may have closed a reused connection, so the request is sent once more on a new one. Requests
+  // to coordinators are idempotent.
+  void retryOnNewConnection() {
+    close();
+    if (!reused || std::chrono::steady_clock::now() >= deadline) return end(0, {});
+    reused = false;
+    connectAndSend();
+  }
+
   void close() {
     if (!stream) return;
     error_code ignored;
@@ -65,7 +77,7 @@
   }
 
   void end(int status, nlohmann::json body) {
-    close();
+    if (status == 0) close();
     ++callNumber;
     const OnResponse callback = std::exchange(onResponse, nullptr);
     if (callback) callback(status, body);
@@ -76,9 +88,10 @@
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::string_body>> parser;
   http::request<http::string_body> request;
-  tcp::endpoint to;
+  tcp::endpoint to, connectedTo;
   std::chrono::steady_clock::time_point deadline;
   OnResponse onResponse;
+  bool reused = false;
   std::uint64_t callNumber = 0;  // handlers of earlier calls are ignored
 };
 
@@ -100,6 +113,7 @@
   c.to = to;
   c.deadline = std::chrono::steady_clock::now() + timeout;
   c.onResponse = std::move(onResponse);
+  c.reused = c.stream && c.stream->socket().is_open() && c.connectedTo == to;
   c.request = {};
   c.request.version(11);
   c.request.method(body != nullptr ? http::verb::post : http::verb::get);
--- a/src/fleet/link/json_call.hpp
+++ b/src/fleet/link/json_call.hpp
@@ -1,5 +1,5 @@
-// HTTP client for JSON requests: one request at a time, each with its own timeout and its own connection. The
-// first response of a connection cannot be a repeat of the response to another request.
+// HTTP connection for JSON requests: one request at a time, each with its own timeout. Reconnects when the
+// connection is lost.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -21,7 +21,7 @@
   return at != object.end() && at->is_number_unsigned() ? at->get<std::uint64_t>() : 0;
 }
 
-// Runs on the thread of its io_context and never blocks.
+// Client side of one connection. Runs on the thread of its io_context and never blocks.
 class JsonCall {
  public:
   // `status` is 0 if there was no response or its body is not JSON.
