--- a/review/2/poll_at_its_end.cpp
+++ b/review/2/poll_at_its_end.cpp
@@ -42,6 +42,7 @@
       sendAll(fd, "POST /v1/messages?id=" + id + "&class=statut&destination=" +
                       std::to_string(1 + number % kDestinations) + "&time_left_ms=" + std::to_string(kTimeMs) +
                       " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n\r\nbody");
+      note("client %d: hands in %s", number, id.c_str());
       bool ended = false;
       for (bool first = true; !ended; first = false) {
         const auto answer = readHttp(fd, buffer, 3'000);
@@ -50,6 +51,7 @@
           note("client %d: no answer in 3 s when it %s %s", number, first ? "handed in" : "asked for", id.c_str());
           break;
         }
+        note("client %d: answered %d %s", number, answer->status(), answer->body.substr(0, answer->body.find('\n')).c_str());
         const json body = json::parse(answer->body, nullptr, false);
         const std::string told = body.is_object() ? body.value("id", "") : "";
         if (answer->status() < 300 && told != id) {
@@ -88,10 +90,10 @@
     const double handedInAt = secondsNow();
     sendAll(fd, enqueueCommand(id, "statut", kTimeMs, kDestinations + 1, "", "body"));
     const auto line = respLine(fd, buffer, 400);
+    note("RESP2: hands in %s, answered %s", id.c_str(), line ? line->c_str() : "nothing in 400 ms");
     if (line && line->rfind("+", 0) == 0) {
       recordTaken(id, handedInAt);
     } else {
-      note("RESP2: %s answered %s", id.c_str(), line ? line->c_str() : "nothing in 400 ms");
       ::close(fd);
       fd = -1;
     }
@@ -109,7 +111,10 @@
       const std::string answer = allDelivered(call);
       if (!sendAll(fd, answer)) return false;
       const std::lock_guard lock(mutex);
-      for (const CalledMessage& message : messagesOf(call)) deliveredAt.emplace(message.id, secondsNow());
+      for (const CalledMessage& message : messagesOf(call)) {
+        deliveredAt.emplace(message.id, secondsNow());
+        note("partner: has run %s and answered 200", message.id.c_str());
+      }
       return true;
     });
     json targets = json::array();
--- a/review/3/endless_answer.cpp
+++ b/review/3/endless_answer.cpp
@@ -22,13 +22,17 @@
 int main(int argc, char** argv) {
   return runCase(argc, argv, [](const std::string& folder) {
     std::atomic<bool> spoilt{!trouble()};
+    const auto deliver = [](int fd, const HttpMessage& call) {
+      for (const CalledMessage& message : messagesOf(call)) note("partner: runs %s, answers 200", message.id.c_str());
+      return sendAll(fd, allDelivered(call));
+    };
     HttpServer sound([&](int fd, const HttpMessage& call) {
       sleepMs(kCallMs);
-      return sendAll(fd, allDelivered(call));
+      return deliver(fd, call);
     });
     HttpServer partner([&](int fd, const HttpMessage& call) {
       sleepMs(kCallMs);
-      if (secondsNow() < kSpoiltFrom || spoilt.exchange(true)) return sendAll(fd, allDelivered(call));
+      if (secondsNow() < kSpoiltFrom || spoilt.exchange(true)) return deliver(fd, call);
       note("partner: a spoilt answer to %s begins", messagesOf(call).front().id.c_str());
       std::size_t sent = 0;
       if (sendAll(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0")) {
@@ -71,8 +75,8 @@
       sendAll(fd, enqueueCommand("m" + std::to_string(n), "statut", kTimeMs, 1 + n % 2, "", "body"));
       const auto line = respLine(fd, buffer, 400);
       line && line->rfind("+", 0) == 0 ? ++takenOn : ++notAnswered;
+      note("client: hands in m%d, answered %s", n, line ? line->c_str() : "nothing in 400 ms");
       if (line) continue;
-      note("client: no answer in 400 ms to m%d", n);
       ::close(fd);
       fd = -1;
     }
