Input from the network is bounded in one place; a response without end took all memory

Cause: the limits stood on what the parser delivers. The extension of a chunk and trailers are held until they are complete, in a buffer without a limit, and one turn of the event loop read for as long as bytes arrived, so that the time limit could not act.

Evidence: with a trace in a scratch copy the buffer grew to 29.6 MB with an empty body, in turns of up to 4,096 reads and 16.6 MB.

Fix: net::BoundedInput is the only reader of sockets. Calls, connections without a call, the watch, notices, JsonCall, the coordinators' server and both frontends use it, so no reader depends on its parser's own limits any more.

--- a/src/app/fleet_membership.cpp
+++ b/src/app/fleet_membership.cpp
@@ -55,6 +55,7 @@
             s.leaseClient.maxClockDrift = settings.maxClockDrift;
             s.leaseClient.requestTimeout =
                 std::min<fleet::Micros>(s.leaseClient.requestTimeout, s.leaseClient.ttl / 4);
+            s.responseLimits = kCoordinatorInputOfForwarders;
             s.coordinators = fleet::parseCoordinators(settings.coordinators);
             return s;
           }(),
--- a/src/clock/alarm.hpp
+++ b/src/clock/alarm.hpp
@@ -1,6 +1,7 @@
 // A one-shot timer that can be rearmed and disarmed reliably.
 #pragma once
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -16,6 +17,7 @@
 class Alarm {
  public:
   explicit Alarm(boost::asio::io_context& io) : timer_(io) {}
+  explicit Alarm(const boost::asio::any_io_executor& executor) : timer_(executor) {}
   ~Alarm() { ++*generation_; }
   Alarm(const Alarm&) = delete;
   Alarm& operator=(const Alarm&) = delete;
--- a/src/coordinator/http_server.cpp
+++ b/src/coordinator/http_server.cpp
@@ -1,23 +1,20 @@
 // Accepts client connections and reads and writes their HTTP messages.
 #include "coordinator/http_server.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/bounded_input.hpp"
+#include "net/socket_writer.hpp"
 #include "process/listening_socket.hpp"
 
 namespace quilltide::coordinator {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
 
-constexpr std::uint64_t kMaxBodyBytes = 128 * 1024;
-constexpr std::uint32_t kMaxHeaderBytes = 8 * 1024;
 constexpr auto kIdleTimeout = std::chrono::seconds(75);  // longer than the maximum long poll
 constexpr auto kWriteTimeout = std::chrono::seconds(10);
 constexpr auto kAcceptRetryDelay =
@@ -60,28 +57,29 @@
 class HttpServer::Client : public std::enable_shared_from_this<HttpServer::Client> {
  public:
   Client(HttpServer& server, tcp::socket socket)
-      : server_(server), alive_(server.alive_), stream_(std::move(socket)) {
+      : server_(server), alive_(server.alive_), socket_(std::move(socket)), alarm_(server.io_) {
     error_code ignored;
-    stream_.socket().set_option(tcp::no_delay(true), ignored);
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
   }
 
   void read() {
     parser_.emplace();
-    parser_->body_limit(kMaxBodyBytes);
-    parser_->header_limit(kMaxHeaderBytes);
-    stream_.expires_after(kIdleTimeout);
-    http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
+    input_.startMessage();
+    closeAfter(kIdleTimeout);
+    input_.asyncReadMessage(*parser_, [self = shared_from_this()](error_code error, std::size_t) {
       if (!*self->alive_) return;
       if (error == http::error::body_limit)
         return self->write({413, {{"error", "the request body is too long"}}}, false);
-      if (error == http::error::end_of_stream || error) return self->end();
+      if (error) return self->end();
       self->handle();
     });
   }
 
   void close() {
+    alarm_.disarm();
     error_code ignored;
-    stream_.socket().close(ignored);
+    socket_.close(ignored);
   }
   // Closes the connection to make room. A pending long poll does not observe the closed socket until its
   // response, so end() must not erase the list entry again.
@@ -96,7 +94,7 @@
     const auto request = parser_->release();
     const bool keep = request.keep_alive();
     auto self = shared_from_this();
-    stream_.expires_never();  // a long poll is bounded by its handler
+    alarm_.disarm();  // a long poll is bounded by its handler
     server_.handler_(requestOf(request), [self, keep, responded = false](const HttpResponse& answer) mutable {
       if (std::exchange(responded, true) || !*self->alive_) return;
       self->write(answer, keep);
@@ -111,25 +109,34 @@
     response_.keep_alive(keep);
     response_.body() = answer.body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
     response_.prepare_payload();
-    stream_.expires_after(kWriteTimeout);
-    http::async_write(stream_, response_, [self = shared_from_this(), keep](error_code error, std::size_t) {
+    closeAfter(kWriteTimeout);
+    http::async_write(writer_, response_, [self = shared_from_this(), keep](error_code error, std::size_t) {
       if (!*self->alive_) return;
       if (error || !keep) return self->end();
       self->read();
     });
   }
 
+  // Ends the operations that are pending on the socket, with an error.
+  void closeAfter(std::chrono::milliseconds timeout) {
+    alarm_.armAfter(timeout, [self = weak_from_this()] {
+      if (const auto client = self.lock()) client->close();
+    });
+  }
+
   void end() {
     error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
     close();
     if (!std::exchange(dropped_, true)) server_.clients_.erase(place);
   }
 
   HttpServer& server_;
   std::shared_ptr<bool> alive_;
-  beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  tcp::socket socket_;
+  net::SocketWriter writer_{socket_};
+  net::BoundedInput input_{socket_, net::InputSource::coordinatorClient, net::kCoordinatorClientInput};
+  clocks::Alarm alarm_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   bool dropped_ = false;
--- a/src/directory/discovery.cpp
+++ b/src/directory/discovery.cpp
@@ -1,11 +1,11 @@
 #include "directory/discovery.hpp"
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <iostream>
 #include <utility>
 
 #include "directory/json_stream_splitter.hpp"
+#include "net/bounded_input.hpp"
 #include "net/socket_writer.hpp"
 
 namespace quilltide::net {
@@ -24,11 +24,11 @@
 }  // namespace
 
 struct Discovery::Watch {
-  explicit Watch(asio::io_context& io) : socket(io), activityAlarm(io) { parser.body_limit(boost::none); }
+  explicit Watch(asio::io_context& io) : socket(io), activityAlarm(io) {}
   tcp::socket socket;
   SocketWriter writer{socket};
   clocks::Alarm activityAlarm;
-  boost::beast::flat_buffer buffer;
+  BoundedInput input{socket, InputSource::directory, kDirectoryInput};
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
   JsonStreamSplitter splitter;
@@ -112,20 +112,25 @@
                       [this, watchState](error_code writeError, std::size_t) {
                         if (watchState->closed) return;
                         if (writeError) return handleFailure("writing the request failed");
-                        http::async_read_header(watchState->socket, watchState->buffer, watchState->parser,
-                                                [this, watchState](error_code headerError, std::size_t) {
-                                                  if (watchState->closed) return;
-                                                  if (headerError)
-                                                    return handleFailure("no response header received");
-                                                  if (watchState->parser.get().result_int() != 200)
-                                                    return handleFailure("response status is not 200");
-                                                  armActivityTimeout(schedule_.onHeaderReceived(steadyNow()));
-                                                  readBody();
-                                                });
+                        watchState->input.asyncReadHeader(
+                            watchState->parser, [this, watchState](error_code headerError, std::size_t) {
+                              if (watchState->closed) return;
+                              if (headerError) return handleFailure("no response header received");
+                              handleHeader();
+                            });
                       });
   });
 }
 
+// The response does not end: its updates are limited one by one.
+void Discovery::handleHeader() {
+  if (watch_->parser.get().result_int() != 200) return handleFailure("response status is not 200");
+  watch_->parser.body_limit(boost::none);
+  watch_->input.startMessage();
+  armActivityTimeout(schedule_.onHeaderReceived(steadyNow()));
+  readBody();
+}
+
 // A network partition leaves the connection open and silent.
 void Discovery::armActivityTimeout(milliseconds timeout) {
   auto watchState = watch_;
@@ -137,20 +142,24 @@
 
 void Discovery::readBody() {
   auto watchState = watch_;
-  http::async_read_some(watchState->socket, watchState->buffer, watchState->parser,
-                        [this, watchState](error_code error, std::size_t count) {
-                          if (watchState->closed) return;
-                          std::string& body = watchState->parser.get().body();
-                          watchState->splitter.append(body);
-                          body.clear();
-                          if ((watchState->bytesSinceActivity += count) >= kActivityBytes)
-                            armActivityTimeout(schedule_.onDataReceived());
-                          processUpdates(watchState);
-                          if (watchState->closed) return;
-                          if (error || watchState->parser.is_done())
-                            return handleFailure("connection closed");
-                          readBody();
-                        });
+  watchState->input.asyncReadSome(watchState->parser,
+                                  [this, watchState](error_code error, std::size_t count) {
+                                    if (watchState->closed) return;
+                                    std::string& body = watchState->parser.get().body();
+                                    watchState->splitter.append(body);
+                                    body.clear();
+                                    if ((watchState->bytesSinceActivity += count) >= kActivityBytes)
+                                      armActivityTimeout(schedule_.onDataReceived());
+                                    processUpdates(watchState);
+                                    if (watchState->closed) return;
+                                    if (error == InputError::messageOverdue)
+                                      return handleFailure("an update took too long");
+                                    if (error == http::error::buffer_overflow)
+                                      return handleFailure("unreadable response");
+                                    if (error || watchState->parser.is_done())
+                                      return handleFailure("connection closed");
+                                    readBody();
+                                  });
 }
 
 DirectoryUpdate Discovery::unchangedDirectory() const {
@@ -162,6 +171,11 @@
   for (JsonStreamSplitter::Result result;
        (result = watchState->splitter.next(objectText)) != JsonStreamSplitter::Result::needMore;) {
     if (result == JsonStreamSplitter::Result::malformed) return handleFailure("malformed directory update");
+    if (result == JsonStreamSplitter::Result::tooLarge) {
+      watchState->input.report(InputLimit::bodyBytes);
+      return handleFailure("directory update too large");
+    }
+    watchState->input.startMessage();
     armActivityTimeout(schedule_.onDataReceived());
     const bool keepAlive = result == JsonStreamSplitter::Result::blankLine;
     if (keepAlive && watchState->updateReceived) continue;
--- a/src/directory/discovery.hpp
+++ b/src/directory/discovery.hpp
@@ -40,6 +40,7 @@
   void stopWatching();
   void openAfter(std::chrono::milliseconds delay);
   void openWatch();
+  void handleHeader();
   void readBody();
   // An update without changes at the current revision.
   DirectoryUpdate unchangedDirectory() const;
--- a/src/directory/json_stream_splitter.hpp
+++ b/src/directory/json_stream_splitter.hpp
@@ -6,14 +6,16 @@
 #include <string_view>
 #include <utility>
 
+#include "net/input_limits.hpp"
+
 namespace quilltide::net {
 
 // Objects follow one another, each on one line or over several. A blank line is a keep-alive. Only finds
 // where each object ends and does not parse it; each byte is examined once.
 class JsonStreamSplitter {
  public:
-  enum class Result { needMore, object, blankLine, malformed };
-  static constexpr std::size_t kMaxObjectBytes = 4 << 20;
+  enum class Result { needMore, object, blankLine, malformed, tooLarge };
+  static constexpr std::size_t kMaxObjectBytes = kDirectoryInput.bodyBytes;
 
   void append(std::string_view chunk) { buffer_ += chunk; }
   // Scans the buffered data. With Result::object, `objectText` holds the text of the object.
@@ -46,7 +48,7 @@
       }
     }
     if (depth_ == 0) discardConsumed();
-    return buffer_.size() > kMaxObjectBytes ? Result::malformed : Result::needMore;
+    return buffer_.size() > kMaxObjectBytes ? Result::tooLarge : Result::needMore;
   }
 
  private:
--- a/src/directory/notice_sender.cpp
+++ b/src/directory/notice_sender.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "net/bounded_input.hpp"
 #include "net/socket_writer.hpp"
 
 namespace quilltide::net {
@@ -32,9 +32,9 @@
   explicit Connection(asio::io_context& io) : socket(io) {}
   tcp::socket socket;
   SocketWriter writer{socket};
-  boost::beast::flat_buffer buffer;
+  BoundedInput input{socket, InputSource::noticeReceiver, kNoticeReceiverInput};
   http::request<http::string_body> request;
-  http::response<http::string_body> response;
+  http::response_parser<http::string_body> parser;
 };
 
 NoticeSender::NoticeSender(asio::io_context& io, const tcp::endpoint& address,
@@ -99,13 +99,13 @@
                     [this, connection](error_code error, std::size_t) {
                       if (connection != connection_) return;
                       if (error) return handleFailure();
-                      http::async_read(connection->socket, connection->buffer, connection->response,
-                                       [this, connection](error_code readError, std::size_t) {
-                                         if (connection != connection_) return;
-                                         if (readError || connection->response.result_int() != 204)
-                                           return handleFailure();
-                                         handleAcknowledgement();
-                                       });
+                      connection->input.asyncReadMessage(
+                          connection->parser, [this, connection](error_code readError, std::size_t) {
+                            if (connection != connection_) return;
+                            if (readError || connection->parser.get().result_int() != 204)
+                              return handleFailure();
+                            handleAcknowledgement();
+                          });
                     });
 }
 
--- a/src/fleet/link/json_call.cpp
+++ b/src/fleet/link/json_call.cpp
@@ -2,81 +2,104 @@
 #include "fleet/link/json_call.hpp"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "clock/alarm.hpp"
+#include "net/bounded_input.hpp"
+#include "net/socket_writer.hpp"
+
 namespace quilltide::fleet {
 
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 using boost::system::error_code;
-
-namespace {
-
-constexpr std::uint64_t kMaxResponseBytes = 64 << 20;  // fits all leases or values of a large fleet
-
-}  // namespace
+using Clock = std::chrono::steady_clock;
 
 struct JsonCall::Connection : std::enable_shared_from_this<Connection> {
-  explicit Connection(boost::asio::io_context& io) : io(io) {}
+  // A connected socket, or one that is being connected. Replaced as a whole, so that operations that are
+  // pending on it end with its close and use nothing of the next one.
+  struct Link {
+    Link(boost::asio::io_context& io, const net::InputLimits& limits)
+        : socket(io), input(socket, net::InputSource::coordinator, limits) {}
+    tcp::socket socket;
+    net::SocketWriter writer{socket};
+    net::BoundedInput input;
+    http::request<http::string_body> request;
+    std::optional<http::response_parser<http::string_body>> parser;
+  };
+
+  Connection(boost::asio::io_context& io, const net::InputLimits& limits)
+      : io(io), limits(limits), deadlineAlarm(io) {}
+
+  bool isOpenTo(const tcp::endpoint& address) const {
+    return link && link->socket.is_open() && connectedTo == address;
+  }
 
   void connectAndSend() {
-    if (stream && stream->socket().is_open() && connectedTo == to) return write();
-    stream.emplace(io);
-    buffer.clear();
-    stream->expires_at(deadline);
-    stream->async_connect(to, [self = shared_from_this(), callNumber = callNumber](error_code error) {
-      if (callNumber != self->callNumber) return;
+    if (!isOpenTo(to)) close();
+    deadlineAlarm.armAfter(deadline - Clock::now(), [self = shared_from_this()] { self->end(0, {}); });
+    if (link) return write();
+    link = std::make_shared<Link>(io, limits);
+    link->socket.async_connect(to, [self = shared_from_this(), link = link](error_code error) {
+      if (link != self->link) return;
       if (error) return self->end(0, {});
       self->connectedTo = self->to;
       error_code ignored;
-      self->stream->socket().set_option(tcp::no_delay(true), ignored);
+      link->socket.set_option(tcp::no_delay(true), ignored);
+      link->socket.non_blocking(true, ignored);
       self->write();
     });
   }
 
   void write() {
-    stream->expires_at(deadline);
-    http::async_write(*stream, request,
-                      [self = shared_from_this(), callNumber = callNumber](error_code error, std::size_t) {
-                        if (callNumber != self->callNumber) return;
-                        if (error) return self->retryOnNewConnection();
-                        self->read();
-                      });
+    link->request = request;
+    http::async_write(
+        link->writer, link->request,
+        [self = shared_from_this(), link = link, callNumber = callNumber](error_code error, std::size_t) {
+          if (link != self->link || callNumber != self->callNumber) return;
+          if (error) return self->retryOnNewConnection();
+          self->read();
+        });
   }
 
   void read() {
-    parser.emplace();
-    parser->body_limit(kMaxResponseBytes);
-    http::async_read(*stream, buffer, *parser,
-                     [self = shared_from_this(), callNumber = callNumber](error_code error, std::size_t) {
-                       if (callNumber != self->callNumber) return;
-                       if (error) return self->retryOnNewConnection();
-                       const auto& response = self->parser->get();
-                       nlohmann::json body = nlohmann::json::parse(response.body(), nullptr, false);
-                       const int status = body.is_discarded() ? 0 : response.result_int();
-                       if (!response.keep_alive() || status == 0) self->close();
-                       self->end(status, std::move(body));
-                     });
+    link->parser.emplace();
+    link->input.startMessage();
+    link->input.asyncReadMessage(*link->parser, [self = shared_from_this(), link = link,
+                                                 callNumber = callNumber](error_code error, std::size_t) {
+      if (link != self->link || callNumber != self->callNumber) return;
+      if (error) return self->retryOnNewConnection();
+      self->handleResponse();
+    });
+  }
+
+  void handleResponse() {
+    const auto& response = link->parser->get();
+    nlohmann::json body = nlohmann::json::parse(response.body(), nullptr, false);
+    const int status = body.is_discarded() ? 0 : response.result_int();
+    if (!response.keep_alive() || status == 0) close();
+    end(status, std::move(body));
   }
 
   // The server may have closed a reused connection, so the request is sent once more on a new one. Requests
   // to coordinators are idempotent.
   void retryOnNewConnection() {
     close();
-    if (!reused || std::chrono::steady_clock::now() >= deadline) return end(0, {});
+    if (!reused || Clock::now() >= deadline) return end(0, {});
     reused = false;
     connectAndSend();
   }
 
   void close() {
-    if (!stream) return;
+    deadlineAlarm.disarm();
+    if (!link) return;
     error_code ignored;
-    stream->socket().close(ignored);
+    link->socket.close(ignored);
+    link.reset();
   }
 
   void end(int status, nlohmann::json body) {
+    deadlineAlarm.disarm();
     if (status == 0) close();
     ++callNumber;
     const OnResponse callback = std::exchange(onResponse, nullptr);
@@ -84,18 +107,19 @@
   }
 
   boost::asio::io_context& io;
-  std::optional<beast::tcp_stream> stream;
-  beast::flat_buffer buffer;
-  std::optional<http::response_parser<http::string_body>> parser;
+  const net::InputLimits limits;
+  clocks::Alarm deadlineAlarm;
+  std::shared_ptr<Link> link;
   http::request<http::string_body> request;
   tcp::endpoint to, connectedTo;
-  std::chrono::steady_clock::time_point deadline;
+  Clock::time_point deadline;
   OnResponse onResponse;
   bool reused = false;
   std::uint64_t callNumber = 0;  // handlers of earlier calls are ignored
 };
 
-JsonCall::JsonCall(boost::asio::io_context& io) : io_(io), connection_(std::make_shared<Connection>(io)) {}
+JsonCall::JsonCall(boost::asio::io_context& io, const net::InputLimits& limits)
+    : io_(io), connection_(std::make_shared<Connection>(io, limits)) {}
 
 JsonCall::~JsonCall() { cancel(); }
 
@@ -111,9 +135,9 @@
                     std::chrono::milliseconds timeout, OnResponse onResponse) {
   Connection& c = *connection_;
   c.to = to;
-  c.deadline = std::chrono::steady_clock::now() + timeout;
+  c.deadline = Clock::now() + timeout;
   c.onResponse = std::move(onResponse);
-  c.reused = c.stream && c.stream->socket().is_open() && c.connectedTo == to;
+  c.reused = c.isOpenTo(to);
   c.request = {};
   c.request.version(11);
   c.request.method(body != nullptr ? http::verb::post : http::verb::get);
--- a/src/fleet/link/json_call.hpp
+++ b/src/fleet/link/json_call.hpp
@@ -10,6 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "net/input_limits.hpp"
+
 namespace quilltide::fleet {
 
 using boost::asio::ip::tcp;
@@ -26,7 +28,8 @@
  public:
   // `status` is 0 if there was no response or its body is not JSON.
   using OnResponse = std::function<void(int status, const nlohmann::json& body)>;
-  explicit JsonCall(boost::asio::io_context& io);
+  // `limits` bound the responses.
+  explicit JsonCall(boost::asio::io_context& io, const net::InputLimits& limits = net::kCoordinatorInput);
   ~JsonCall();
   JsonCall(const JsonCall&) = delete;
   JsonCall& operator=(const JsonCall&) = delete;
--- a/src/fleet/session_client/session_client.cpp
+++ b/src/fleet/session_client/session_client.cpp
@@ -87,10 +87,10 @@
       leaseClient_(settings_.leaseClient),
       selector_(idsOf(settings_.coordinators),
                 settings_.leaseClient.jitterSeed % settings_.coordinators.size()),
-      renewalCall_(io),
-      controlCall_(io),
-      readCall_(io),
-      watchCall_(io),
+      renewalCall_(io, settings_.responseLimits),
+      controlCall_(io, settings_.responseLimits),
+      readCall_(io, settings_.responseLimits),
+      watchCall_(io, settings_.responseLimits),
       processTimer_(io),
       watchRetryTimer_(io) {}
 
--- a/src/fleet/session_client/session_client.hpp
+++ b/src/fleet/session_client/session_client.hpp
@@ -47,6 +47,7 @@
   struct Settings {
     LeaseClient::Settings leaseClient;  // an empty nonce is replaced by a random one
     std::vector<CoordinatorAddress> coordinators;
+    net::InputLimits responseLimits = net::kCoordinatorInput;
     std::function<void(const RequestFailure&)> onRequestFailure;  // for logs; may be empty
   };
   using OnEvent = std::function<void(const LeaseClient::Event&)>;
@@ -81,7 +82,7 @@
   void scheduleProcess();
   // Connection for one kind of request, and the coordinator that the last one was sent to.
   struct CoordinatorCall {
-    explicit CoordinatorCall(boost::asio::io_context& io) : connection(io) {}
+    CoordinatorCall(boost::asio::io_context& io, const net::InputLimits& limits) : connection(io, limits) {}
     JsonCall connection;
     std::size_t coordinator = 0;  // index
     std::chrono::steady_clock::time_point deadline;
--- a/src/frontend/http/http_frontend.cpp
+++ b/src/frontend/http/http_frontend.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <chrono>
@@ -12,6 +11,7 @@
 
 #include "frontend/http/api.hpp"
 #include "frontend/listener/lingering.hpp"
+#include "net/bounded_input.hpp"
 #include "net/socket_writer.hpp"
 
 namespace quilltide::net {
@@ -25,10 +25,8 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t kMaxHeaderBytes = 8 * 1024;
-constexpr std::size_t kReadBufferBytes = 16 * 1024;     // holds a complete header; bodies are read in blocks
-constexpr std::size_t kMaxEventWriteBytes = 32 * 1024;  // events of one stream in one write, approximately
-constexpr auto kWriteTimeout = milliseconds(10'000);    // for a client that does not read its response
+constexpr std::size_t kMaxEventWriteBytes = 32 * 1024;    // events of one stream in one write, approximately
+constexpr auto kWriteTimeout = milliseconds(10'000);      // for a client that does not read its response
 constexpr auto kHeartbeatInterval = milliseconds(5'000);  // on an event stream without events
 // Consecutive pipelined requests without a message that one connection may send at full rate; further ones
 // wait in the rate limiter.
@@ -37,6 +35,14 @@
 // A keep-alive connection that has been idle for this long may be evicted.
 constexpr auto kMinIdleBeforeEviction = milliseconds(2'000);
 
+InputLimits inputLimits(const HttpFrontendSettings& settings) {
+  InputLimits limits = kHttpClientInput;
+  // One more byte than is allowed, so that what is too long can be told with the limit of the operation.
+  limits.bodyBytes = std::max(settings.maxBatchBytes, kMaxBodyBytes) + 1;
+  limits.messageTime = settings.requestTimeout;
+  return limits;
+}
+
 std::string serialize(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -46,7 +52,10 @@
 class HttpFrontend::Client : public std::enable_shared_from_this<HttpFrontend::Client> {
  public:
   Client(HttpFrontend& frontend, tcp::socket socket)
-      : frontend_(&frontend), socket_(std::move(socket)), timer_(frontend.io_) {}
+      : frontend_(&frontend),
+        socket_(std::move(socket)),
+        input_(socket_, InputSource::httpClient, inputLimits(frontend.settings_)),
+        timer_(frontend.io_) {}
 
   void start(Clients<Client>::iterator entry) {
     entry_ = entry;
@@ -178,10 +187,8 @@
     state_ = State::idle;
     accountBuffered(0);
     parser_.emplace();
-    parser_->header_limit(kMaxHeaderBytes);
-    parser_->body_limit(std::max(frontend_->settings_.maxBatchBytes, kMaxBodyBytes) + 1);
     error_code availableError;
-    if (buffer_.size() > 0 ||
+    if (input_.buffer().size() > 0 ||
         (requestsWithoutMessage_ > 0 && socket_.available(availableError) > 0 && !availableError))
       return readPipelined();
     requestsWithoutMessage_ = 0;
@@ -210,15 +217,13 @@
   void readHeader() {
     state_ = State::reading;
     markUsed();
-    runAfter(frontend_->settings_.requestTimeout, [this] {
-      respondAndClose({408, "request-timeout", "request timed out before it was complete", 0, nullptr});
+    timer_.cancel();
+    input_.startMessage();
+    input_.asyncReadHeader(*parser_, [this, self = shared_from_this()](error_code error, std::size_t) {
+      if (closed_ || state_ != State::reading) return;
+      if (error) return handleReadError(error);
+      handleHeader();
     });
-    http::async_read_header(socket_, buffer_, *parser_,
-                            [this, self = shared_from_this()](error_code error, std::size_t) {
-                              if (closed_ || state_ != State::reading) return;
-                              if (error) return handleReadError(error);
-                              handleHeader();
-                            });
   }
 
   // Rejects invalid headers before the body is read.
@@ -236,12 +241,15 @@
     if (declaredLength && *declaredLength > limit) return rejectTooLarge();
     contentLength_ = declaredLength ? static_cast<std::size_t>(*declaredLength) : 0;
     if (!checkMemoryLimit()) return;
-    if (header[http::field::expect].empty() || parser_->is_done() || buffer_.size() > 0) return readBody();
+    if (header[http::field::expect].empty() || parser_->is_done() || input_.buffer().size() > 0)
+      return readBody();
     static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    runAfter(kWriteTimeout, [this] { close(); });
     asio::async_write(writer_, asio::buffer(kContinue),
                       [this, self = shared_from_this()](error_code error, std::size_t) {
                         if (closed_ || state_ != State::reading) return;
                         if (error) return close();
+                        timer_.cancel();
                         readBody();
                       });
   }
@@ -259,6 +267,10 @@
     return 0;
   }
   void rejectTooLarge() {
+    input_.report(InputLimit::bodyBytes);
+    respondTooLarge();
+  }
+  void respondTooLarge() {
     respondAndClose({413, "too-large",
                      "the body of this request is limited to " + std::to_string(bodyLimit()) + " bytes", 0,
                      nullptr});
@@ -267,7 +279,7 @@
   // Accounts for the size of this request; responds 503 and returns false if all unanswered requests together
   // exceed the limit.
   bool checkMemoryLimit() {
-    accountBuffered(std::max(contentLength_, parser_->get().body().size()) + buffer_.size());
+    accountBuffered(std::max(contentLength_, parser_->get().body().size()) + input_.buffer().size());
     if (frontend_->bufferedBytes_ <= frontend_->limits_.requestBytes) return true;
     respondAndClose({503, "no-room", "too many bytes of unanswered requests", retryDelayUs(), nullptr});
     return false;
@@ -275,20 +287,22 @@
 
   void readBody() {
     if (parser_->is_done()) return dispatchRequest();
-    http::async_read_some(socket_, buffer_, *parser_,
-                          [this, self = shared_from_this()](error_code error, std::size_t) {
-                            if (closed_ || state_ != State::reading) return;
-                            if (error) return handleReadError(error);
-                            if (parser_->get().body().size() > bodyLimit()) return rejectTooLarge();
-                            if (checkMemoryLimit()) readBody();
-                          });
+    input_.asyncReadSome(*parser_, [this, self = shared_from_this()](error_code error, std::size_t) {
+      if (closed_ || state_ != State::reading) return;
+      if (error) return handleReadError(error);
+      if (parser_->get().body().size() > bodyLimit()) return rejectTooLarge();
+      if (checkMemoryLimit()) readBody();
+    });
   }
 
   void handleReadError(error_code error) {
     if (error == http::error::end_of_stream) return close();
+    if (error == InputError::messageOverdue)
+      return respondAndClose(
+          {408, "request-timeout", "request timed out before it was complete", 0, nullptr});
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
       return respondAndClose({431, "head-too-large", "the request header is limited to 8 KiB", 0, nullptr});
-    if (error == http::error::body_limit) return rejectTooLarge();
+    if (error == http::error::body_limit) return respondTooLarge();
     if (error.category() != http::make_error_code(http::error::need_more).category()) return close();
     respondAndClose({400, "bad-request", "malformed request: " + error.message(), 0, nullptr});
   }
@@ -593,7 +607,7 @@
   void discardUnread() {
     socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code error) {
       if (closed_) return;
-      const auto step = error ? LingeringClose::NextStep::close : lingeringClose_.discardInput(socket_);
+      const auto step = error ? LingeringClose::NextStep::close : lingeringClose_.discardInput(input_);
       if (step == LingeringClose::NextStep::close) return close();
       if (step == LingeringClose::NextStep::keepReading) discardUnread();
     });
@@ -603,10 +617,10 @@
   Clients<Client>::iterator entry_;
   tcp::socket socket_;
   SocketWriter writer_{socket_};
+  BoundedInput input_;
   asio::steady_timer timer_;
   State state_ = State::idle;
   Clock::time_point lastActivity_ = Clock::now();
-  boost::beast::flat_buffer buffer_{kReadBufferBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
   api::Target target_;
   api::RouteMatch match_{api::Operation::getState, ""};
--- a/src/frontend/listener/lingering.hpp
+++ b/src/frontend/listener/lingering.hpp
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 
+#include "net/bounded_input.hpp"
+
 namespace quilltide::net {
 
 // Closing a socket with unread input sends a TCP reset, which may discard the last response before the client
@@ -26,11 +28,12 @@
   }
 
   // Reads and discards one block of input. The socket must be non-blocking. Returns `close` when the client
-  // has closed its side or on an error.
-  NextStep discardInput(tcp::socket& socket) {
+  // has closed its side or on an error. Call it once in a turn of the event loop.
+  NextStep discardInput(BoundedInput& input) {
     std::array<char, 4096> discarded;
     boost::system::error_code error;
-    discardedBytes_ += socket.read_some(boost::asio::buffer(discarded), error);
+    input.startTurn();
+    discardedBytes_ += input.readInto(boost::asio::buffer(discarded), error);
     if (error && error != boost::asio::error::would_block) return NextStep::close;
     return discardedBytes_ < kMaxDiscardedBytes ? NextStep::keepReading : NextStep::waitForTimeout;
   }
--- a/src/frontend/resp/request_reader.cpp
+++ b/src/frontend/resp/request_reader.cpp
@@ -8,10 +8,11 @@
 #include <cstdint>
 #include <string_view>
 
+#include "net/input_limits.hpp"
+
 namespace quilltide::net {
 namespace {
 
-constexpr std::size_t kMaxPendingBytes = kMaxBodyBytes + 4 * 1024;  // one request with all its arguments
 constexpr std::size_t kMaxArguments = 64;
 constexpr std::size_t kMaxLengthLineBytes = 24;  // a RESP length line
 constexpr std::size_t kRetainedBufferBytes = 4 * 1024;
@@ -68,9 +69,10 @@
   if (redisReaderGetReply(reader_.get(), &rawReply) != REDIS_OK) return Result::protocolError;
   // Arguments that hiredis has already parsed are not in its buffer, so the buffer size alone does not bound
   // the request.
-  if (rawReply == nullptr)
-    return pendingBytes_ > kMaxPendingBytes || hasInvalidLength() ? Result::protocolError
-                                                                  : Result::needMoreData;
+  if (rawReply == nullptr) {
+    if (pendingBytes_ > kRespClientInput.bufferedBytes) return Result::tooLarge;
+    return hasInvalidLength() ? Result::protocolError : Result::needMoreData;
+  }
   pendingBytes_ = reader_->len - reader_->pos;
   const std::unique_ptr<void, decltype(&freeReplyObject)> owner(rawReply, freeReplyObject);
   const auto& request = *static_cast<const redisReply*>(rawReply);
--- a/src/frontend/resp/request_reader.hpp
+++ b/src/frontend/resp/request_reader.hpp
@@ -20,6 +20,7 @@
     needMoreData,    // the request is incomplete
     request,         // a request was read into `arguments`
     invalidRequest,  // a complete RESP value that is not an array of bulk strings; parsing can continue
+    tooLarge,        // exceeds the limits of a request; parsing cannot continue
     protocolError    // malformed, or a length exceeds the limits; parsing cannot continue
   };
 
--- a/src/frontend/resp/resp_frontend.cpp
+++ b/src/frontend/resp/resp_frontend.cpp
@@ -12,6 +12,7 @@
 
 #include "frontend/listener/lingering.hpp"
 #include "frontend/resp/request_reader.hpp"
+#include "net/bounded_input.hpp"
 #include "net/socket_writer.hpp"
 
 namespace quilltide::net {
@@ -28,11 +29,10 @@
 // Requests of one client that are processed before other connections are served.
 constexpr std::size_t kMaxRequestsPerTurn = 64;
 constexpr std::size_t kFloodTurnsPerMs = 2;  // for clients that used a full turn without submitting a message
-constexpr int kMaxFinalReads = 16;           // reads of 16 KiB at shutdown
 constexpr auto kSweepInterval = milliseconds(100);
 // Silent connections and incomplete requests must be closed within 3 s; idle connections may be evicted after
 // 2 s.
-constexpr auto kSilenceTimeout = milliseconds(2'200);
+constexpr auto kSilenceTimeout = kRespClientInput.messageTime;
 constexpr auto kMinIdleBeforeEviction = milliseconds(2'000);
 constexpr auto kWriteTimeout = milliseconds(10'000);  // for a client that does not read its replies
 
@@ -80,8 +80,8 @@
   void finish() {
     constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
     parseRequests(unlimited);
-    for (int reads = 0; reads < kMaxFinalReads && !closing_ && !closed_ && readAvailable(); ++reads)
-      parseRequests(unlimited);
+    input_.startTurn();
+    while (!closing_ && !closed_ && readAvailable()) parseRequests(unlimited);
     if (closed_) return;
     closing_ = true;
     flush();
@@ -104,6 +104,7 @@
       if (writing_ && idleTime >= kWriteTimeout) close();
     } else if (reader_.pendingBytes() > 0 && !parsePending_) {
       if (idleTime >= kSilenceTimeout && !receivedMoreInput()) {
+        input_.report(InputLimit::messageTime);
         rejectAndClose("ERR request incomplete: timed out");
         flush();
       }
@@ -185,7 +186,7 @@
         (closing_ || replies_.size() >= kMaxPendingReplies || outgoing_.size() >= kMaxUnsentBytes))
       return;
     reading_ = true;
-    socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code error) {
+    input_.waitReadable([this, self = shared_from_this()](error_code error) {
       reading_ = false;
       if (closed_) return;
       if (error) return close();
@@ -208,7 +209,8 @@
   // Reads one block. Returns false if no data was available, or on an error.
   bool readAvailable() {
     error_code error;
-    const std::size_t count = socket_.read_some(asio::buffer(frontend_->readBuffer_), error);
+    const std::size_t count = input_.readInto(asio::buffer(frontend_->readBuffer_), error);
+    input_.startMessage();  // the sweep measures the time of requests
     if (error == asio::error::would_block) return false;
     // The client has shut down its sending side; earlier requests are still answered.
     if (error == asio::error::eof) {
@@ -234,7 +236,9 @@
       }
       const RequestReader::Result next = reader_.readNext(arguments);
       if (next == RequestReader::Result::needMoreData) break;
-      if (next == RequestReader::Result::protocolError) return rejectAndClose("ERR protocol error");
+      if (next == RequestReader::Result::tooLarge) input_.report(InputLimit::bufferedBytes);
+      if (next == RequestReader::Result::tooLarge || next == RequestReader::Result::protocolError)
+        return rejectAndClose("ERR protocol error");
       handleRequest(next == RequestReader::Result::request ? &arguments : nullptr);
     }
     if (closed_) return;
@@ -315,7 +319,7 @@
   }
 
   void discardUnread() {
-    const auto next = lingeringClose_.discardInput(socket_);
+    const auto next = lingeringClose_.discardInput(input_);
     if (next == LingeringClose::NextStep::close) return close();
     if (next == LingeringClose::NextStep::keepReading) waitForInput();
   }
@@ -324,6 +328,7 @@
   Clients<Client>::iterator entry_;
   tcp::socket socket_;
   SocketWriter writer_{socket_};
+  BoundedInput input_{socket_, InputSource::respClient, kRespClientInput};
   RequestReader reader_;
   std::deque<std::optional<std::string>> replies_;  // in request order; empty until the reply is known
   std::size_t firstIndex_ = 0;
--- a/src/upstream/http/call_response.cpp
+++ b/src/upstream/http/call_response.cpp
@@ -9,26 +9,28 @@
 namespace quilltide::net {
 namespace {
 
-constexpr std::size_t kMaxBodyBytes = 64 * 1024;
-constexpr std::uint32_t kMaxHeaderBytes = 8 * 1024;
 constexpr std::size_t kMaxLoadMetrics = 16;
 
 }  // namespace
 
 void CallResponse::reset() {
   parser_ = std::make_unique<Parser>();
-  parser_->body_limit(kMaxBodyBytes);
-  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(kTargetInput.bodyBytes);
+  parser_->header_limit(kTargetInput.headBytes);
   parser_->get().result(0U);  // Beast initializes the status to 200 before anything is read
 }
 
-CallResponse::Progress CallResponse::parse(boost::beast::flat_buffer& buffer) {
+CallResponse::Progress CallResponse::parse(BoundedInput& input) {
+  InputBuffer& buffer = input.buffer();
   while (buffer.size() > 0) {
     boost::system::error_code error;
     const std::size_t count = parser_->put(buffer.data(), error);
     buffer.consume(count);
     if (error == boost::beast::http::error::need_more) return Progress::incomplete;
-    if (error) return Progress::malformed;
+    if (error) {
+      input.reportParserError(error);
+      return Progress::malformed;
+    }
     if (parser_->is_done()) return Progress::complete;
     if (count == 0) return Progress::incomplete;
   }
--- a/src/upstream/http/call_response.hpp
+++ b/src/upstream/http/call_response.hpp
@@ -1,7 +1,6 @@
 // Parses the HTTP response to a call and derives the result of each message of the call.
 #pragma once
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
 #include <memory>
@@ -9,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "net/bounded_input.hpp"
 #include "quilltide/sender.hpp"
 
 namespace quilltide::net {
@@ -33,10 +33,11 @@
   void reset();
   Parser& parser() { return *parser_; }
   const Parser& parser() const { return *parser_; }
-  // Parses what `buffer` holds, up to the end of this response, and consumes it.
-  Progress parse(boost::beast::flat_buffer& buffer);
+  // Parses what the input's buffer holds, up to the end of this response, and consumes it.
+  Progress parse(BoundedInput& input);
 
   unsigned status() const { return parser_->get().result_int(); }
+  std::size_t bodyBytes() const { return parser_->get().body().size(); }
   // Whether the target keeps the connection open after this response.
   bool keepsConnection() const { return parser_->keep_alive(); }
   // True for an interim (1xx) response; the final response follows it.
--- a/src/upstream/http/connection_pool.cpp
+++ b/src/upstream/http/connection_pool.cpp
@@ -13,8 +13,8 @@
 using boost::system::error_code;
 using Clock = UpstreamConnection::Clock;
 
-constexpr std::size_t kReadChunkBytes = 4 * 1024;
 constexpr std::size_t kMaxExtraResponses = 8;  // in one review; more end it
+constexpr int kMaxInterimResponses = 16;       // on a connection without a call; more end it
 constexpr auto kIdleTimeoutMargin =
     std::chrono::milliseconds(500);  // keeps a request from crossing the target's own idle close
 // For how long new connections are avoided after one was refused for lack of room, or was slow.
@@ -126,9 +126,10 @@
   connection->lastUsedAt = Clock::now();
   connection->retired = connection->retired || retire;
   connection->extraResponse.reset();
+  connection->interimResponses = 0;
   ++connection->idleGeneration;
   idle_[target].push_back(connection);
-  if (connection->buffer.size() > 0 && !parseExtraResponses(target, *connection))
+  if (connection->input.buffer().size() > 0 && !parseExtraResponses(target, *connection))
     return remove(target, connection);
   if (connection->review.empty() && connection->retired) {
     if (connection->hasInput()) readExtraResponses(target, connection);
@@ -230,8 +231,7 @@
 }
 
 void ConnectionPool::waitForInput(const TargetId& target, const std::shared_ptr<Connection>& connection) {
-  connection->socket.async_wait(
-      tcp::socket::wait_read,
+  connection->input.waitReadable(
       [this, alive = alive_, target, connection, generation = connection->idleGeneration](error_code error) {
         if (!*alive || connection->idleGeneration != generation) return;
         if (error) return remove(target, connection);
@@ -245,9 +245,7 @@
                                         const std::shared_ptr<Connection>& connection) {
   for (;;) {
     error_code error;
-    const std::size_t count =
-        connection->socket.read_some(connection->buffer.prepare(kReadChunkBytes), error);
-    connection->buffer.commit(count);
+    connection->input.readSome(error);
     if (!parseExtraResponses(target, *connection)) return remove(target, connection);
     if (error == asio::error::would_block) return;
     if (error) return remove(target, connection);
@@ -256,17 +254,23 @@
 
 // Returns false if the connection is of no more use.
 bool ConnectionPool::parseExtraResponses(const TargetId& target, Connection& connection) {
-  while (connection.buffer.size() > 0) {
-    const CallResponse::Progress progress = connection.extraResponse.parse(connection.buffer);
+  while (connection.input.buffer().size() > 0) {
+    const CallResponse::Progress progress = connection.extraResponse.parse(connection.input);
     if (progress == CallResponse::Progress::incomplete) return true;
     if (progress == CallResponse::Progress::malformed) {
       logExtraResponse(target, connection, 0, "unreadable, connection closed");
       return false;
     }
-    if (!connection.extraResponse.isInterim()) handleExtraResponse(target, connection);
+    const bool interim = connection.extraResponse.isInterim();
+    if (!interim) handleExtraResponse(target, connection);
     connection.extraResponse.reset();
+    connection.input.startMessage();
+    if (interim && ++connection.interimResponses > kMaxInterimResponses) {
+      logExtraResponse(target, connection, 0, "too many interim responses, connection closed");
+      return false;
+    }
     if (connection.retired && connection.review.empty()) return false;
-    if (connection.review.extraResponses() > kMaxExtraResponses) return false;
+    if (connection.review.extraResponses() > kMaxExtraResponses || connection.review.isFull()) return false;
   }
   return true;
 }
--- a/src/upstream/http/http_upstream_client.cpp
+++ b/src/upstream/http/http_upstream_client.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdio>
 #include <optional>
@@ -19,12 +18,9 @@
 using boost::system::error_code;
 using Clock = std::chrono::steady_clock;
 
-constexpr auto kResponseReadTimeout =
-    std::chrono::milliseconds(500);  // from the first byte of a response to its last
 constexpr int kMaxSkippedResponses =
     16;  // interim (1xx) and foreign ones that are accepted before the final one
 constexpr int kMaxRetryAfterFactor = 10;  // limit of X-Retry-In-Ms, as a multiple of the longest deadline
-constexpr std::size_t kReadChunkBytes = 4 * 1024;
 
 Micros elapsedSince(Clock::time_point from) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - from).count();
@@ -209,7 +205,7 @@
     stage_ = Stage::awaitingResponse;
     connection_->recordCall(requests_[sentIndexes_.front()].id, requests_[sentIndexes_.front()].attempt);
     requestBytes_ = {};
-    if (connection_->buffer.size() > 0) return readResponse();
+    if (connection_->input.buffer().size() > 0) return readResponse();
     waitForResponse();
   }
 
@@ -220,9 +216,9 @@
                                                       : message.timeout);
   }
 
-  // Arms the timer for the connect or response deadline, or the earliest deadline of an unreported request.
+  // Arms the timer for the connect deadline or the earliest deadline of an unreported request.
   void armTimer() {
-    std::optional<Clock::time_point> earliest = connectDeadline_ ? connectDeadline_ : responseDeadline_;
+    std::optional<Clock::time_point> earliest = connectDeadline_;
     for (std::size_t i = 0; i < requests_.size(); ++i)
       if (!reported_[i] && (!earliest || requestDeadline(i) < *earliest)) earliest = requestDeadline(i);
     if (!earliest) return;
@@ -235,7 +231,6 @@
         return failUnreported();
       }
       if (completedByResponse()) return;
-      if (responseDeadline_ && now >= *responseDeadline_) return finishUnreadable();
       std::vector<std::size_t> expired;
       for (std::size_t i = 0; i < requests_.size(); ++i)
         if (!reported_[i] && now >= requestDeadline(i)) expired.push_back(i);
@@ -276,21 +271,24 @@
 
   void waitForResponse() {
     if (std::exchange(readWaitPending_, true)) return;
-    connection_->socket.async_wait(tcp::socket::wait_read,
-                                   [this, self = shared_from_this()](error_code error) {
-                                     readWaitPending_ = false;
-                                     if (stage_ == Stage::finished) return;
-                                     if (error) return failUnreported();
-                                     readResponse();
-                                   });
+    connection_->input.waitReadable([this, self = shared_from_this()](error_code error) {
+      readWaitPending_ = false;
+      if (stage_ == Stage::finished) return;
+      if (error == InputError::messageOverdue) {
+        if (!completedByResponse()) finishUnreadable();
+        return;
+      }
+      if (error) return failUnreported();
+      readResponse();
+    });
   }
 
-  // Reads what is available. Interim (1xx) responses may arrive at any time; once a response has begun, it
-  // must be complete within kResponseReadTimeout.
+  // Reads what is available, within the limits of the input. Interim (1xx) responses may arrive at any time.
   void readResponse() {
     while (stage_ == Stage::awaitingResponse) {
-      const CallResponse::Progress progress = response_.parse(connection_->buffer);
+      const CallResponse::Progress progress = response_.parse(connection_->input);
       if (progress == CallResponse::Progress::complete) {
+        connection_->input.startMessage();
         if (isForeignResponse()) {
           client_.pool_.recordForeignResponse(target_, *connection_, response_.status());
         } else if (!response_.isInterim()) {
@@ -300,22 +298,14 @@
             ++skippedCount_ > kMaxSkippedResponses)
           return finishUnreadable();
         response_.reset();
-        responseDeadline_.reset();
-        armTimer();
         continue;
       }
-      if (progress == CallResponse::Progress::malformed)
-        return statusLineConfirmsDelivery() ? finishAsDelivered() : finishUnreadable();
       error_code error;
-      const std::size_t n =
-          connection_->socket.read_some(connection_->buffer.prepare(kReadChunkBytes), error);
-      connection_->buffer.commit(n);
+      if (progress == CallResponse::Progress::incomplete) connection_->input.readSome(error);
+      if (progress == CallResponse::Progress::malformed || error == InputError::bufferFull)
+        return statusLineConfirmsDelivery() ? finishAsDelivered() : finishUnreadable();
       if (error == asio::error::would_block) return waitForResponse();
       if (error) return handleReadError(error);
-      if (!responseDeadline_) {
-        responseDeadline_ = Clock::now() + kResponseReadTimeout;
-        armTimer();
-      }
     }
   }
 
@@ -479,7 +469,7 @@
   std::vector<std::size_t> sentIndexes_;  // indexes into requests_, in the order they were written
   asio::steady_timer timer_;
   Clock::time_point startedAt_ = Clock::now();
-  std::optional<Clock::time_point> connectDeadline_, responseDeadline_;
+  std::optional<Clock::time_point> connectDeadline_;
   std::shared_ptr<UpstreamConnection> connection_;
   Clock::time_point previouslyRestedAt_{};  // of a reused connection, when it was taken
   std::string requestBytes_;
--- a/src/upstream/http/response_review.cpp
+++ b/src/upstream/http/response_review.cpp
@@ -21,13 +21,18 @@
   for (const Entry& entry : entries) call.ids.push_back(entry.id);
   call.entries = std::move(entries);
   call.mayBeRepeat = mayBeRepeat;
-  responses_.push_back(std::move(response));
+  addResponse(std::move(response));
 }
 
-void ResponseReview::addExtraResponse(CallResponse response) { responses_.push_back(std::move(response)); }
+void ResponseReview::addExtraResponse(CallResponse response) { addResponse(std::move(response)); }
+
+void ResponseReview::addResponse(CallResponse response) {
+  bodyBytes_ += response.bodyBytes();
+  responses_.push_back(std::move(response));
+}
 
 bool ResponseReview::mayAddCall() const {
-  if (extraResponses() > 0 || calls_.size() >= kMaxCallsPerReview) return false;
+  if (extraResponses() > 0 || isFull() || calls_.size() >= kMaxCallsPerReview) return false;
   for (std::size_t i = 0; i < calls_.size(); ++i) {
     const std::vector<MessageResult> results = responses_[i].messageResults(calls_[i].ids);
     const bool allEnded = std::all_of(results.begin(), results.end(),
@@ -66,6 +71,7 @@
   }
   calls_.clear();
   responses_.clear();
+  bodyBytes_ = 0;
   return reviews;
 }
 
--- a/src/upstream/http/response_review.hpp
+++ b/src/upstream/http/response_review.hpp
@@ -33,6 +33,8 @@
   void addExtraResponse(CallResponse response);
   bool empty() const { return calls_.empty(); }
   std::size_t extraResponses() const { return responses_.size() - calls_.size(); }
+  // Whether the responses take all the memory that a review may use; it has to end then.
+  bool isFull() const { return bodyBytes_ > kMaxBodyBytes; }
   // Whether another call may be written before the review ends: all messages so far seem delivered, so nobody
   // waits for the verdict, and the number of calls is within bounds.
   bool mayAddCall() const;
@@ -45,10 +47,14 @@
     std::vector<std::string> ids;  // of the entries, in the same order
     bool mayBeRepeat = false;
   };
+  void addResponse(CallResponse response);
   std::vector<OutcomeReview::Verdict> verdictsOf(std::size_t callIndex, End end) const;
 
+  static constexpr std::size_t kMaxBodyBytes = 128 * kKiB;
+
   std::vector<Call> calls_;
   std::vector<CallResponse> responses_;  // that of call k first, extra ones last
+  std::size_t bodyBytes_ = 0;            // of responses_
 };
 
 }  // namespace quilltide::net
--- a/src/upstream/http/upstream_connection.hpp
+++ b/src/upstream/http/upstream_connection.hpp
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -12,6 +11,7 @@
 #include <string>
 
 #include "config/platform.hpp"
+#include "net/bounded_input.hpp"
 #include "upstream/http/call_response.hpp"
 #include "upstream/http/response_review.hpp"
 
@@ -57,13 +57,14 @@
   void recordResponse(unsigned status, std::chrono::microseconds expectedWithin);
 
   tcp::socket socket;  // non-blocking once connected
-  boost::beast::flat_buffer buffer;
+  BoundedInput input{socket, InputSource::target, kTargetInput};
   boost::asio::steady_timer settleTimer;
   const tcp::endpoint peer;
   const std::uint64_t number;  // identifies the connection in the log
   ResponseReview review;
   std::set<unsigned> statusesSeen;  // of all responses so far
   CallResponse extraResponse;       // being read while no call is in flight
+  int interimResponses = 0;         // (1xx) read while no call is in flight
   CallTrace lastCall, previousCall;
   Clock::time_point lastUsedAt = Clock::now();
   Clock::time_point restedAt{};   // from then on a repeat of an earlier response is no longer expected
--- a/tests/connections_test.cpp
+++ b/tests/connections_test.cpp
@@ -170,13 +170,14 @@
   asio::write(client, asio::buffer(std::string(100'000, 'x')));
   ASSERT_TRUE(loops.until([&] { return served.available() > 0; }));
   asio::write(served, asio::buffer(std::string("-ERR bye\r\n")));
+  BoundedInput input(served, InputSource::respClient, kRespClientInput);
   LingeringClose last;
   last.shutdownSend(served);
   std::string told;
   error_code error;
   client.non_blocking(true);
   ASSERT_TRUE(loops.until([&] {
-    last.discardInput(served);
+    last.discardInput(input);
     std::array<char, 64> piece;
     told.append(piece.data(), client.read_some(asio::buffer(piece), error));
     return error && error != asio::error::would_block;
@@ -186,7 +187,7 @@
   client.close();
   LingeringClose::NextStep next = LingeringClose::NextStep::keepReading;
   EXPECT_TRUE(
-      loops.until([&] { return (next = last.discardInput(served)) == LingeringClose::NextStep::close; }));
+      loops.until([&] { return (next = last.discardInput(input)) == LingeringClose::NextStep::close; }));
 }
 
 // Who goes on sending for good is read away up to a bound, and then only waited out.
@@ -194,6 +195,7 @@
   tcp::socket client = connect();
   ASSERT_TRUE(loops.until([&] { return sockets.size() == 1; }));
   client.non_blocking(true);
+  BoundedInput input(sockets.front(), InputSource::respClient, kRespClientInput);
   LingeringClose last;
   last.shutdownSend(sockets.front());
   const std::string piece(16'000, 'x');
@@ -202,7 +204,7 @@
   ASSERT_TRUE(loops.until([&] {
     error_code full;
     sent += client.write_some(asio::buffer(piece), full);
-    next = last.discardInput(sockets.front());
+    next = last.discardInput(input);
     return next != LingeringClose::NextStep::keepReading;
   }));
   EXPECT_EQ(next, LingeringClose::NextStep::waitForTimeout);
