Timers: a handler that was queued before its timer was set anew never acts

Cause: setting a plain Asio timer anew does not take back a handler that is queued. The message's end answered the poll and the old handler answered it again, which replaced the response that a write was reading. Nothing in the frontend's states kept a second response back.

A stream that ends with the process sends the events that are due first.

--- a/src/app/fleet_membership.cpp
+++ b/src/app/fleet_membership.cpp
@@ -33,7 +33,7 @@
   ~TakenOverFolder() { forwarder.reset(); }
   std::unique_ptr<boost::asio::io_context> io;
   std::unique_ptr<Forwarder> forwarder;
-  std::unique_ptr<boost::asio::steady_timer> pollTimer;
+  std::unique_ptr<clocks::Alarm> pollAlarm;
   bool fenced = false;
 };
 
@@ -61,7 +61,7 @@
           }(),
           [this](const Event& e) { handleLeaseEvent(e); }),
       takeover_({name_, settings.takeOverAfterMs * 1'000, settings.maxConcurrentTakeovers}),
-      scanTimer_(io) {}
+      scanAlarm_(io) {}
 
 FleetMembership::~FleetMembership() { *alive_ = false; }
 
@@ -108,9 +108,8 @@
 // ---- Takeover of orphaned folders ----
 
 void FleetMembership::scheduleScan() {
-  scanTimer_.expires_after(kScanInterval);
-  scanTimer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive && coordinatesTakeovers_ && !closing_) scanFolders();
+  scanAlarm_.armAfter(kScanInterval, [this] {
+    if (coordinatesTakeovers_ && !closing_) scanFolders();
   });
 }
 
@@ -157,7 +156,7 @@
     const PlatformConfig config = readPlatformConfig(registrationJson.at("config").get<std::string>(), state);
     auto folder = std::make_unique<TakenOverFolder>(config, state, epoch);
     folder->forwarder->engine().onFenced([takenOver = folder.get()] { takenOver->fenced = true; });
-    folder->pollTimer = std::make_unique<boost::asio::steady_timer>(io_);
+    folder->pollAlarm = std::make_unique<clocks::Alarm>(io_);
     std::cerr << "fleet: takes over " << name << " by epoch " << epoch << std::endl;
     folder->forwarder->startWithoutFrontends();
     takenOverFolders_[name] = std::move(folder);
@@ -180,14 +179,10 @@
     std::cerr << "fleet: all messages of " << name << " have ended" << std::endl;
     return finishTakeover(name, true);
   }
-  folder.pollTimer->expires_after(kTakenOverPollInterval);
-  folder.pollTimer->async_wait([this, alive = alive_, name](boost::system::error_code error) {
-    if (!error && *alive) runTakenOver(name);
-  });
+  folder.pollAlarm->armAfter(kTakenOverPollInterval, [this, name] { runTakenOver(name); });
 }
 
 void FleetMembership::finishTakeover(const std::string& name, bool succeeded) {
-  // The timer that is destroyed here has no wait pending.
   takenOverFolders_.erase(name);
   const std::string lease = fleet::folderLeaseName(name);
   const auto releaseLease = [this, name, lease] {
@@ -203,17 +198,14 @@
 
 void FleetMembership::close(bool folderEmpty, std::function<void()> closed) {
   closing_ = true;
-  scanTimer_.cancel();
+  scanAlarm_.disarm();
   takenOverFolders_.clear();
   const auto closeSession = [this, closed = std::move(closed), ended = std::make_shared<bool>(false)] {
     if (!std::exchange(*ended, true)) session_.close(kCloseTimeout, closed);
   };
   if (!folderEmpty) return closeSession();
   // The coordinators may be unreachable, so the wait for them is limited.
-  scanTimer_.expires_after(kCloseTimeout);
-  scanTimer_.async_wait([closeSession](boost::system::error_code error) {
-    if (!error) closeSession();
-  });
+  scanAlarm_.armAfter(kCloseTimeout, closeSession);
   session_.put(fleet::kFolderKeyPrefix + name_, std::nullopt, {}, fleet::folderLeaseName(name_),
                [closeSession](const fleet::Result&) { closeSession(); });
 }
--- a/src/app/fleet_membership.hpp
+++ b/src/app/fleet_membership.hpp
@@ -7,13 +7,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
 #include "app/forwarder.hpp"
+#include "clock/alarm.hpp"
 #include "fleet/session_client/session_client.hpp"
 #include "fleet/takeover/takeover.hpp"
 
@@ -51,7 +51,7 @@
   std::function<void(std::uint64_t)> onFolderAcquired_;
   fleet::SessionClient session_;
   fleet::TakeoverPlanner takeover_;
-  boost::asio::steady_timer scanTimer_;
+  clocks::Alarm scanAlarm_;
   bool coordinatesTakeovers_ = false, closing_ = false;
   std::map<std::string, std::string> registrations_;  // folder registrations by forwarder name, as last read
   std::map<std::string, std::unique_ptr<TakenOverFolder>> takenOverFolders_;
--- a/src/clock/alarm.hpp
+++ b/src/clock/alarm.hpp
@@ -25,8 +25,13 @@
   // Runs `callback` after `delay`, in place of the callback that was armed before.
   template <typename Callback>
   void armAfter(std::chrono::steady_clock::duration delay, Callback callback) {
+    armAt(std::chrono::steady_clock::now() + delay, std::move(callback));
+  }
+  // The same at `time`.
+  template <typename Callback>
+  void armAt(std::chrono::steady_clock::time_point time, Callback callback) {
     const std::uint64_t generation = ++*generation_;
-    timer_.expires_after(delay);
+    timer_.expires_at(time);
     timer_.async_wait(
         [generation, current = generation_, callback = std::move(callback)](boost::system::error_code error) {
           if (!error && generation == *current) callback();
--- a/src/coordinator/api.cpp
+++ b/src/coordinator/api.cpp
@@ -39,7 +39,7 @@
 }  // namespace
 
 Api::Api(boost::asio::io_context& io, const Settings& settings, Folder& folder)
-    : io_(io), settings_(settings), folder_(folder), expiryTimer_(io) {}
+    : io_(io), settings_(settings), folder_(folder), expiryAlarm_(io) {}
 
 void Api::handle(const HttpRequest& request, ResponseCallback respond) {
   try {
@@ -201,9 +201,7 @@
 }
 
 void Api::expireWaiters() {
-  expiryTimer_.expires_after(kWaiterExpiryInterval);
-  expiryTimer_.async_wait([this](boost::system::error_code error) {
-    if (error) return;
+  expiryAlarm_.armAfter(kWaiterExpiryInterval, [this] {
     const auto now = std::chrono::steady_clock::now();
     const bool isLeader = node_ != nullptr && node_->isLeader();
     for (auto at = waiters_.begin(); at != waiters_.end();) {
--- a/src/coordinator/api.hpp
+++ b/src/coordinator/api.hpp
@@ -2,13 +2,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "clock/alarm.hpp"
 #include "coordinator/http_server.hpp"
 #include "coordinator/raft_node.hpp"
 #include "fleet/state/state.hpp"
@@ -57,7 +57,7 @@
   Folder& folder_;
   RaftNode* node_ = nullptr;
   std::list<Waiter> waiters_;
-  boost::asio::steady_timer expiryTimer_;
+  clocks::Alarm expiryAlarm_;
   std::uint64_t commands_ = 0;
   std::chrono::steady_clock::time_point startedAt_ = std::chrono::steady_clock::now();
 };
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -23,7 +23,7 @@
                 api_.handle(request, std::move(respond));
               }),
       exchange_(io, settings, folder_),
-      watchTimer_(io) {}
+      watchAlarm_(io) {}
 
 void Coordinator::start() {
   server_.listen();
@@ -57,14 +57,11 @@
     loggedTerm_ = node_->term();
     spdlog::info("event={} id={} term={}", wasLeader_ ? "leads" : "follows", settings_.id, loggedTerm_);
   }
-  watchTimer_.expires_after(kWatchInterval);
-  watchTimer_.async_wait([this](boost::system::error_code error) {
-    if (!error) watch();
-  });
+  watchAlarm_.armAfter(kWatchInterval, [this] { watch(); });
 }
 
 void Coordinator::close(std::function<void()> closed) {
-  watchTimer_.cancel();
+  watchAlarm_.disarm();
   exchange_.stop();
   server_.close();
   api_.attach(nullptr);
--- a/src/coordinator/coordinator.hpp
+++ b/src/coordinator/coordinator.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "clock/alarm.hpp"
 #include "coordinator/api.hpp"
 #include "coordinator/folder.hpp"
 #include "coordinator/http_server.hpp"
@@ -43,7 +43,7 @@
   HttpServer server_;
   PeerExchange exchange_;
   std::unique_ptr<RaftNode> node_;
-  boost::asio::steady_timer watchTimer_;
+  clocks::Alarm watchAlarm_;
   bool wasLeader_ = false;
   std::uint64_t loggedTerm_ = 0;
   int watchCount_ = 0;
--- a/src/coordinator/http_server.cpp
+++ b/src/coordinator/http_server.cpp
@@ -148,7 +148,8 @@
       listenAddress_(at),
       maxConnections_(connections),
       handler_(std::move(handler)),
-      acceptor_(io) {}
+      acceptor_(io),
+      acceptRetryAlarm_(io) {}
 
 HttpServer::~HttpServer() { close(); }
 
@@ -159,6 +160,7 @@
 
 void HttpServer::close() {
   *alive_ = false;
+  acceptRetryAlarm_.disarm();
   error_code ignored;
   acceptor_.close(ignored);
   for (const auto& client : clients_)
@@ -170,10 +172,7 @@
   acceptor_.async_accept([this, alive = alive_](error_code error, tcp::socket socket) {
     if (!*alive || error == asio::error::operation_aborted) return;
     if (error) {
-      auto pause = std::make_shared<asio::steady_timer>(io_, kAcceptRetryDelay);
-      pause->async_wait([this, alive, pause](error_code) {
-        if (*alive) accept();
-      });
+      acceptRetryAlarm_.armAfter(kAcceptRetryDelay, [this] { accept(); });
       return;
     }
     // At the connection limit, closes the oldest connection; an active client reconnects.
--- a/src/coordinator/http_server.hpp
+++ b/src/coordinator/http_server.hpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "clock/alarm.hpp"
+
 namespace quilltide::coordinator {
 
 using boost::asio::ip::tcp;
@@ -48,6 +50,7 @@
   Handler handler_;
   tcp::acceptor acceptor_;
   std::list<std::weak_ptr<Client>> clients_;
+  clocks::Alarm acceptRetryAlarm_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/coordinator/main.cpp
+++ b/src/coordinator/main.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "clock/alarm.hpp"
 #include "clock/clock.hpp"
 #include "config/service_config.hpp"
 #include "coordinator/coordinator.hpp"
@@ -54,14 +55,11 @@
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   boost::asio::signal_set reloadSignals(io, SIGHUP);
   logReloadRequests(reloadSignals, settings.id);
-  boost::asio::steady_timer shutdownTimer(io);
+  quilltide::clocks::Alarm shutdownAlarm(io);
   signals.async_wait([&](boost::system::error_code error, int) {
     if (error) return;
     spdlog::info("event=ending id={}", settings.id);
-    shutdownTimer.expires_after(kShutdownTimeout);
-    shutdownTimer.async_wait([&](boost::system::error_code cancelled) {
-      if (!cancelled) io.stop();
-    });
+    shutdownAlarm.armAfter(kShutdownTimeout, [&] { io.stop(); });
     server.close([&] { io.stop(); });
   });
   server.start();
--- a/src/coordinator/peer_exchange.cpp
+++ b/src/coordinator/peer_exchange.cpp
@@ -45,7 +45,7 @@
 }
 
 PeerExchange::PeerExchange(boost::asio::io_context& io, const Settings& settings, Folder& folder)
-    : settings_(settings), folder_(folder), timer_(io) {
+    : settings_(settings), folder_(folder), alarm_(io) {
   for (std::size_t i = 0; i < settings_.peers.size(); ++i)
     calls_.push_back(std::make_unique<fleet::JsonCall>(io));
   admission_.peerCount = settings_.peers.size();
@@ -71,7 +71,7 @@
   if (stopped_) return;
   // A joining coordinator has no earlier progress to compare; the cluster decides when it is added.
   if (admission_.hasEnoughAnswers() || (folder_.isNew() && settings_.join)) {
-    timer_.cancel();
+    alarm_.disarm();
     if (const auto proceed = std::exchange(onAdmitted_, nullptr)) proceed();
     return;
   }
@@ -95,10 +95,7 @@
                    std::to_string(body.value("id", std::uint64_t{0})));
         });
   }
-  timer_.expires_after(kQueryInterval);
-  timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) queryPeers();
-  });
+  alarm_.armAfter(kQueryInterval, [this] { queryPeers(); });
 }
 
 void PeerExchange::startReporting(const RaftNode& node, std::function<void(const std::string&)> onFailure) {
@@ -123,15 +120,12 @@
       calls_[i]->call(settings_.peers[i].httpVia, "/v1/peer", &report, kPeerRequestTimeout,
                       [](int, const json&) {});
   }
-  timer_.expires_after(kReportInterval);
-  timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) reportProgress();
-  });
+  alarm_.armAfter(kReportInterval, [this] { reportProgress(); });
 }
 
 void PeerExchange::stop() {
   stopped_ = true;
-  timer_.cancel();
+  alarm_.disarm();
   for (const auto& call : calls_) call->cancel();
 }
 
--- a/src/coordinator/peer_exchange.hpp
+++ b/src/coordinator/peer_exchange.hpp
@@ -3,13 +3,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "clock/alarm.hpp"
 #include "coordinator/folder.hpp"
 #include "coordinator/raft_node.hpp"
 #include "coordinator/settings.hpp"
@@ -53,7 +53,7 @@
 
   Settings settings_;
   Folder& folder_;
-  boost::asio::steady_timer timer_;
+  clocks::Alarm alarm_;
   std::vector<std::unique_ptr<fleet::JsonCall>> calls_;  // in the order of settings_.peers
   StartAdmission admission_;
   std::function<void()> onAdmitted_;
--- a/src/coordinator/raft_node.cpp
+++ b/src/coordinator/raft_node.cpp
@@ -102,7 +102,7 @@
       state_(settings.stateLimits),
       expiry_(settings.expiry),
       loop_(io, [this] { onLoopTurn(); }),
-      tickTimer_(io) {}
+      tickAlarm_(io) {}
 
 RaftNode::~RaftNode() = default;
 
@@ -179,7 +179,7 @@
   }
   closeCallbacks_.push_back(std::move(closed));
   if (std::exchange(closing_, true)) return;
-  tickTimer_.cancel();
+  tickAlarm_.disarm();
   if (!initialized_) return finishClose();
   raft_close(&raft_, [](raft* r) {
     RaftNode* self = static_cast<RaftNode*>(r->data);
@@ -305,10 +305,7 @@
               });
     }
   }
-  tickTimer_.expires_after(kExpiryTickInterval);
-  tickTimer_.async_wait([this](boost::system::error_code error) {
-    if (!error) tick();
-  });
+  tickAlarm_.armAfter(kExpiryTickInterval, [this] { tick(); });
 }
 
 // ---- Proposals ----
--- a/src/coordinator/raft_node.hpp
+++ b/src/coordinator/raft_node.hpp
@@ -2,13 +2,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "clock/alarm.hpp"
 #include "coordinator/folder.hpp"
 #include "coordinator/raft_library.hpp"
 #include "coordinator/settings.hpp"
@@ -99,7 +99,7 @@
   fleet::State state_;
   fleet::ExpiryTracker expiry_;
   UvLoop loop_;
-  boost::asio::steady_timer tickTimer_;
+  clocks::Alarm tickAlarm_;
   // C-Raft uses the transport's `data` member itself, so the owner is stored in a derived struct.
   struct Transport : raft_uv_transport {
     RaftNode* node = nullptr;
--- a/src/coordinator/uv_loop.cpp
+++ b/src/coordinator/uv_loop.cpp
@@ -14,7 +14,7 @@
 }  // namespace
 
 UvLoop::UvLoop(boost::asio::io_context& io, std::function<void()> onTurn)
-    : backendDescriptor_(io), timer_(io), onTurn_(std::move(onTurn)) {
+    : backendDescriptor_(io), alarm_(io), onTurn_(std::move(onTurn)) {
   if (uv_loop_init(&loop_) != 0) throw std::runtime_error("cannot initialize the libuv loop");
   backendDescriptor_.assign(uv_backend_fd(&loop_));
   awaitDescriptor();
@@ -30,7 +30,7 @@
 void UvLoop::stop() {
   if (std::exchange(stopped_, true)) return;
   boost::system::error_code ignored;
-  timer_.cancel();
+  alarm_.disarm();
   if (backendDescriptor_.is_open()) backendDescriptor_.release();  // libuv owns the descriptor
 }
 
@@ -60,9 +60,8 @@
   auto pause = kMaxPollInterval;
   if (due >= 0)
     pause = std::clamp(std::chrono::milliseconds(due), std::chrono::milliseconds(1), kMaxPollInterval);
-  timer_.expires_after(pause);
-  timer_.async_wait([this](boost::system::error_code error) {
-    if (error || stopped_) return;
+  alarm_.armAfter(pause, [this] {
+    if (stopped_) return;
     turn();
     if (!stopped_) awaitTimer();
   });
--- a/src/coordinator/uv_loop.hpp
+++ b/src/coordinator/uv_loop.hpp
@@ -5,9 +5,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 
+#include "clock/alarm.hpp"
+
 namespace quilltide::coordinator {
 
 // Single-threaded; turns do not block waiting for I/O.
@@ -29,7 +30,7 @@
   void awaitTimer();
   uv_loop_t loop_;
   boost::asio::posix::stream_descriptor backendDescriptor_;
-  boost::asio::steady_timer timer_;
+  clocks::Alarm alarm_;
   std::function<void()> onTurn_;
   bool turning_ = false, turnRequested_ = false, stopped_ = false;
 };
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -51,7 +51,7 @@
       initialDirectory_(config.initialDirectory),
       journal_(config.stateFolder, config.diskLimitBytes, retention, std::move(ownership)),
       sender_(config.settings, config.seed),
-      processingTimer_(io) {
+      processingAlarm_(io) {
   for (const ClassSettings& classSettings : settings_.classes)
     destinationRetention_ = std::max(destinationRetention_, classSettings.deadline);
 }
@@ -296,10 +296,8 @@
   at = (at / period + 1) * period;
   if (processingAt_ != 0 && processingAt_ <= at) return;
   processingAt_ = at;
-  processingTimer_.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
-  processingTimer_.async_wait([this](error_code error) {
-    if (!error) processEvents();
-  });
+  processingAlarm_.armAt(std::chrono::steady_clock::time_point(std::chrono::microseconds(at)),
+                         [this] { processEvents(); });
 }
 
 void Engine::processEvents() {
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <set>
@@ -11,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "clock/alarm.hpp"
 #include "config/platform.hpp"
 #include "engine/message.hpp"
 #include "engine/ports.hpp"
@@ -133,7 +133,7 @@
   std::vector<OutcomeHandler> subscribers_;
   std::function<void()> onFenced_;
 
-  boost::asio::steady_timer processingTimer_;
+  clocks::Alarm processingAlarm_;
   Micros processingAt_ = 0;  // 0 if not scheduled
   bool commitPosted_ = false;
   std::vector<Event> events_;
--- a/src/fleet/cli/main.cpp
+++ b/src/fleet/cli/main.cpp
@@ -10,7 +10,9 @@
 #include <csignal>
 #include <iomanip>
 #include <iostream>
+#include <thread>
 
+#include "clock/alarm.hpp"
 #include "fleet/session_client/session_client.hpp"
 
 namespace {
@@ -55,9 +57,7 @@
     if (last.status == 200 || last.status == 400 || last.status == 404 || last.status == 409) return last;
     selector.recordFailure(asked, namedLeaderIn(last.body));
     if (selector.current() <= asked || last.status == 0) {
-      boost::asio::io_context io;
-      boost::asio::steady_timer pause(io, kRetryPause);
-      pause.wait();
+      std::this_thread::sleep_for(kRetryPause);
     }
   }
   return last;
@@ -199,11 +199,8 @@
   signals.async_wait([&](boost::system::error_code error, int) {
     if (!error) closeSession();
   });
-  boost::asio::steady_timer timer(io, std::chrono::seconds(seconds));
-  if (seconds > 0)
-    timer.async_wait([&](boost::system::error_code error) {
-      if (!error) closeSession();
-    });
+  quilltide::clocks::Alarm holdAlarm(io);
+  if (seconds > 0) holdAlarm.armAfter(std::chrono::seconds(seconds), closeSession);
   io.run();
   return 0;
 }
--- a/src/fleet/session_client/session_client.cpp
+++ b/src/fleet/session_client/session_client.cpp
@@ -91,8 +91,8 @@
       controlCall_(io, settings_.responseLimits),
       readCall_(io, settings_.responseLimits),
       watchCall_(io, settings_.responseLimits),
-      processTimer_(io),
-      watchRetryTimer_(io) {}
+      processAlarm_(io),
+      watchRetryAlarm_(io) {}
 
 SessionClient::~SessionClient() { *alive_ = false; }
 
@@ -163,17 +163,16 @@
     }
   }
   if (onClosed_ && (leaseClient_.isClosed() || std::chrono::steady_clock::now() >= closeDeadline_)) {
-    processTimer_.cancel();
+    processAlarm_.disarm();
     const auto onClosed = std::exchange(onClosed_, nullptr);
     return onClosed();
   }
   watchChanges();
   const Micros delay = leaseClient_.nextWakeup(now) - now;
-  processTimer_.expires_after(std::clamp<std::chrono::microseconds>(
-      std::chrono::microseconds(delay), std::chrono::microseconds(100), kMaxProcessInterval));
-  processTimer_.async_wait([this, alive = alive_](boost::system::error_code error) {
-    if (!error && *alive) process();
-  });
+  processAlarm_.armAfter(
+      std::clamp<std::chrono::microseconds>(std::chrono::microseconds(delay), std::chrono::microseconds(100),
+                                            kMaxProcessInterval),
+      [this] { process(); });
 }
 
 void SessionClient::send(CoordinatorCall& call, const LeaseClient::Request& request) {
@@ -254,9 +253,7 @@
                       return process();
                     }
                     watchPaused_ = true;
-                    watchRetryTimer_.expires_after(kPollRetryPause);
-                    watchRetryTimer_.async_wait([this, alive](boost::system::error_code error) {
-                      if (error || !*alive) return;
+                    watchRetryAlarm_.armAfter(kPollRetryPause, [this] {
                       watchPaused_ = false;
                       watchChanges();
                     });
--- a/src/fleet/session_client/session_client.hpp
+++ b/src/fleet/session_client/session_client.hpp
@@ -5,7 +5,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -14,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "clock/alarm.hpp"
 #include "fleet/lease_client/coordinator_selector.hpp"
 #include "fleet/lease_client/lease_client.hpp"
 #include "fleet/link/json_call.hpp"
@@ -105,7 +105,7 @@
   CoordinatorSelector selector_;
   CoordinatorCall renewalCall_, controlCall_, readCall_;
   JsonCall watchCall_;
-  boost::asio::steady_timer processTimer_, watchRetryTimer_;
+  clocks::Alarm processAlarm_, watchRetryAlarm_;
   LogIndex lastSeenChange_ = 0;  // last change of the watched session that a long poll returned
   SessionId watchedSession_ = 0;
   bool watchPaused_ = false, processScheduled_ = false;
--- a/src/frontend/http/http_frontend.cpp
+++ b/src/frontend/http/http_frontend.cpp
@@ -8,7 +8,10 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdio>
+#include <iostream>
+#include <utility>
 
+#include "clock/alarm.hpp"
 #include "frontend/http/api.hpp"
 #include "frontend/listener/lingering.hpp"
 #include "net/bounded_input.hpp"
@@ -55,7 +58,7 @@
       : frontend_(&frontend),
         socket_(std::move(socket)),
         input_(socket_, InputSource::httpClient, inputLimits(frontend.settings_)),
-        timer_(frontend.io_) {}
+        alarm_(frontend.io_) {}
 
   void start(Clients<Client>::iterator entry) {
     entry_ = entry;
@@ -66,6 +69,7 @@
   void rejectOverCapacity(Clients<Client>::iterator entry) {
     entry_ = entry;
     rejected_ = true;
+    responseDue_ = true;
     ++frontend_->rejectedClients_;
     respondAndClose({503, "no-room", "every place of this frontend is taken", retryDelayUs(), nullptr});
   }
@@ -95,10 +99,9 @@
       case State::reading:
         return respondAndClose({503, "stopping", "this forwarder is shutting down", retryDelayUs(), nullptr});
       case State::polling:
-        return respondWithState();
+        return answerPoll();
       case State::streaming:
-        if (!writing_) linger();
-        return;
+        return sendNewEvents();  // ends the stream behind them
       case State::submitting:
       case State::writing:
       case State::lingering:
@@ -107,9 +110,7 @@
   }
 
   // Answers a long poll whose message has ended.
-  void onMessageEnded() {
-    if (state_ == State::polling) respondWithState();
-  }
+  void onMessageEnded() { answerPoll(); }
 
   // Writes the events that the stream has not sent yet, unless a write is in progress.
   void sendNewEvents() {
@@ -133,7 +134,7 @@
   void close() {
     if (closed_) return;
     closed_ = true;
-    timer_.cancel();
+    alarm_.disarm();
     error_code ignored;
     socket_.close(ignored);
     if (frontend_ == nullptr) return;
@@ -175,9 +176,8 @@
 
   template <typename Handler>
   void runAfter(milliseconds waitTime, Handler handler) {
-    timer_.expires_after(waitTime);
-    timer_.async_wait([self = shared_from_this(), handler](error_code error) {
-      if (!error && !self->closed_) handler();
+    alarm_.armAfter(waitTime, [self = shared_from_this(), handler] {
+      if (!self->closed_) handler();
     });
   }
 
@@ -195,7 +195,7 @@
     if (frontend_->draining_ && hasSentRequest_) return close();
     // Until its first request, a client gets the request timeout instead of the idle timeout.
     runAfter(hasSentRequest_ ? frontend_->settings_.idleTimeout : frontend_->settings_.requestTimeout,
-             [this] { close(); });
+             [this] { closeIdle(); });
     socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code error) {
       if (closed_ || state_ != State::idle) return;
       if (error) return close();
@@ -203,6 +203,13 @@
     });
   }
 
+  // A request that has arrived is answered; the handler of the wait for it follows.
+  void closeIdle() {
+    error_code error;
+    if (state_ != State::idle || (socket_.available(error) > 0 && !error)) return;
+    close();
+  }
+
   // Reads a pipelined request, through the rate limiter if too many came without a message.
   void readPipelined() {
     if (requestsWithoutMessage_ < kMaxUnthrottledRequests) return readHeader();
@@ -216,8 +223,9 @@
 
   void readHeader() {
     state_ = State::reading;
+    responseDue_ = true;
     markUsed();
-    timer_.cancel();
+    alarm_.disarm();
     input_.startMessage();
     input_.asyncReadHeader(*parser_, [this, self = shared_from_this()](error_code error, std::size_t) {
       if (closed_ || state_ != State::reading) return;
@@ -249,7 +257,7 @@
                       [this, self = shared_from_this()](error_code error, std::size_t) {
                         if (closed_ || state_ != State::reading) return;
                         if (error) return close();
-                        timer_.cancel();
+                        alarm_.disarm();
                         readBody();
                       });
   }
@@ -308,7 +316,7 @@
   }
 
   void dispatchRequest() {
-    timer_.cancel();
+    alarm_.disarm();
     hasSentRequest_ = true;
     keepAlive_ = parser_->keep_alive();
     const bool submitsMessages =
@@ -452,13 +460,18 @@
           api::Problem{503, "no-room", "too many long polls and event streams", retryDelayUs(), nullptr});
     state_ = State::polling;
     frontend_->longPolls_.emplace(match_.id, weak_from_this());
-    runAfter(waitTime, [this] { respondWithState(); });
+    runAfter(waitTime, [this] { answerPoll(); });
     watchForClose();
   }
 
-  void respondWithState() {
+  // Answers a long poll, unless that has happened.
+  void answerPoll() {
+    if (state_ != State::polling) return;
     releaseWaitSlot();
-    timer_.cancel();
+    alarm_.disarm();
+    respondWithState();
+  }
+  void respondWithState() {
     respond(api::stateResponse(match_.id, frontend_->engine_.status(match_.id), frontend_->engine_.names()));
   }
 
@@ -489,6 +502,7 @@
       return respond(
           api::Problem{503, "no-room", "too many long polls and event streams", retryDelayUs(), nullptr});
     state_ = State::streaming;
+    responseDue_ = false;
     frontend_->eventStreams_.insert(this);
     streamBuffer_ =
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\nConnection: "
@@ -570,7 +584,15 @@
     return out;
   }
 
+  // Counts and logs a response that would have been the second one to its request.
+  void suppressResponse(int status) {
+    ++frontend_->surplusResponses_;
+    std::cerr << "http: suppressed a second response, " << status << ", to one request in state "
+              << static_cast<int>(state_) << ", " << frontend_->surplusResponses_ << " so far" << std::endl;
+  }
+
   void writeResponse(int status, const char* type, std::string body, const http::fields& extraHeaders) {
+    if (!std::exchange(responseDue_, false)) return suppressResponse(status);
     state_ = State::writing;
     accountBuffered(accountedBytes_ + body.size());
     const bool closeAfterResponse = !keepAlive_ || frontend_->draining_;
@@ -588,7 +610,7 @@
                       [this, closeAfterResponse, self = shared_from_this()](error_code error, std::size_t) {
                         if (closed_) return;
                         if (error) return close();
-                        timer_.cancel();
+                        alarm_.disarm();
                         response_ = {};
                         if (closeAfterResponse) return linger();
                         markUsed();
@@ -618,7 +640,7 @@
   tcp::socket socket_;
   SocketWriter writer_{socket_};
   BoundedInput input_;
-  asio::steady_timer timer_;
+  clocks::Alarm alarm_;
   State state_ = State::idle;
   Clock::time_point lastActivity_ = Clock::now();
   std::optional<http::request_parser<http::string_body>> parser_;
@@ -633,6 +655,7 @@
   LingeringClose lingeringClose_;
   bool keepAlive_ = true;
   bool hasSentRequest_ = false;  // has sent a complete request
+  bool responseDue_ = false;     // the request that is being read or handled has no response yet
   bool rejected_ = false, holdsWaitSlot_ = false, writing_ = false, closed_ = false;
 };
 
--- a/src/frontend/http/http_frontend.hpp
+++ b/src/frontend/http/http_frontend.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <random>
@@ -40,6 +40,8 @@
 
   std::size_t connections() const { return clients_.size(); }
   std::size_t bufferedBytes() const { return bufferedBytes_; }
+  // Number of responses that were not written because their request had one. Each is a fault, and logged.
+  std::uint64_t surplusResponses() const { return surplusResponses_; }
 
  private:
   class Client;
@@ -63,6 +65,7 @@
   std::size_t bufferedBytes_ = 0;    // of unanswered requests, all clients together
   std::unordered_multimap<std::string, std::weak_ptr<Client>> longPolls_;  // by message id
   std::set<Client*> eventStreams_;
+  std::uint64_t surplusResponses_ = 0;
   bool eventsPosted_ = false, draining_ = false, finished_ = false;
   std::mt19937_64 random_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/frontend/listener/listener.cpp
+++ b/src/frontend/listener/listener.cpp
@@ -18,7 +18,7 @@
 }  // namespace
 
 Listener::Listener(asio::io_context& io, std::string logName, Callbacks callbacks)
-    : logName_(std::move(logName)), callbacks_(std::move(callbacks)), acceptor_(io), retryTimer_(io) {}
+    : logName_(std::move(logName)), callbacks_(std::move(callbacks)), acceptor_(io), retryAlarm_(io) {}
 
 void Listener::listen(const tcp::endpoint& bindAddress) {
   process::listenAt(acceptor_, bindAddress);
@@ -28,14 +28,13 @@
 
 void Listener::close() {
   error_code ignored;
-  retryTimer_.cancel();
+  retryAlarm_.disarm();
   acceptor_.close(ignored);
 }
 
 void Listener::scheduleAccept() {
-  retryTimer_.expires_after(kAcceptRetryDelay);
-  retryTimer_.async_wait([this](error_code error) {
-    if (!error && acceptor_.is_open()) accept();
+  retryAlarm_.armAfter(kAcceptRetryDelay, [this] {
+    if (acceptor_.is_open()) accept();
   });
 }
 
--- a/src/frontend/listener/listener.hpp
+++ b/src/frontend/listener/listener.hpp
@@ -3,10 +3,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string>
 
+#include "clock/alarm.hpp"
+
 namespace quilltide::net {
 
 // Used on the event loop thread only; no function blocks. The objects that the callbacks refer to must
@@ -42,7 +43,7 @@
   std::string logName_;
   Callbacks callbacks_;
   tcp::acceptor acceptor_;
-  boost::asio::steady_timer retryTimer_;
+  clocks::Alarm retryAlarm_;
 };
 
 }  // namespace quilltide::net
--- a/src/frontend/listener/rate_limiter.hpp
+++ b/src/frontend/listener/rate_limiter.hpp
@@ -2,11 +2,12 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
 #include <functional>
 
+#include "clock/alarm.hpp"
+
 namespace quilltide::net {
 
 // A FIFO queue of clients, of which at most `turnsPerMs` resume in each millisecond. Clients that flood a
@@ -17,29 +18,27 @@
   // Returns false if the client has closed; the next one in the queue then gets its turn.
   using Resume = std::function<bool()>;
 
-  RateLimiter(boost::asio::io_context& io, std::size_t turnsPerMs) : turnsPerMs_(turnsPerMs), timer_(io) {}
+  RateLimiter(boost::asio::io_context& io, std::size_t turnsPerMs) : turnsPerMs_(turnsPerMs), alarm_(io) {}
 
   void enqueue(Resume resume) {
     queue_.push_back(std::move(resume));
-    if (queue_.size() == 1) startTimer();
+    if (queue_.size() == 1) scheduleTurn();
   }
 
  private:
-  void startTimer() {
-    timer_.expires_after(std::chrono::milliseconds(1));
-    timer_.async_wait([this](boost::system::error_code error) {
-      if (error) return;
+  void scheduleTurn() {
+    alarm_.armAfter(std::chrono::milliseconds(1), [this] {
       for (std::size_t turnsUsed = 0; turnsUsed < turnsPerMs_ && !queue_.empty();) {
         const Resume resume = std::move(queue_.front());
         queue_.pop_front();
         turnsUsed += resume() ? 1 : 0;
       }
-      if (!queue_.empty()) startTimer();
+      if (!queue_.empty()) scheduleTurn();
     });
   }
 
   std::size_t turnsPerMs_;
-  boost::asio::steady_timer timer_;
+  clocks::Alarm alarm_;
   std::deque<Resume> queue_;
 };
 
--- a/src/frontend/resp/resp_frontend.cpp
+++ b/src/frontend/resp/resp_frontend.cpp
@@ -356,7 +356,7 @@
                 {[this] { return clients_.size() < limits_.connections || evictLeastRecentlyUsed(clients_); },
                  [this](tcp::socket socket) { onAccepted(std::move(socket)); },
                  [this] { evictLeastRecentlyUsed(clients_); }}),
-      sweepTimer_(io),
+      sweepAlarm_(io),
       floodLimiter_(io, kFloodTurnsPerMs) {}
 
 RespFrontend::~RespFrontend() {
@@ -380,9 +380,7 @@
 }
 
 void RespFrontend::sweep() {
-  sweepTimer_.expires_after(kSweepInterval);
-  sweepTimer_.async_wait([this](error_code error) {
-    if (error) return;
+  sweepAlarm_.armAfter(kSweepInterval, [this] {
     const auto now = Clock::now();
     for (const auto& client : Clients<Client>(clients_)) client->checkTimeouts(now);
     sweep();
--- a/src/frontend/resp/resp_frontend.hpp
+++ b/src/frontend/resp/resp_frontend.hpp
@@ -4,12 +4,12 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "clock/alarm.hpp"
 #include "config/budget.hpp"
 #include "config/platform.hpp"
 #include "engine/engine.hpp"
@@ -48,7 +48,7 @@
   Engine& engine_;
   Clients<Client> clients_;
   Listener listener_;
-  boost::asio::steady_timer sweepTimer_;
+  clocks::Alarm sweepAlarm_;
   RateLimiter floodLimiter_;
   std::size_t bufferedBytes_ = 0;  // of incomplete requests, all clients together
   // Shared by all clients; the data is copied out before the next read.
--- a/src/upstream/http/connection_pool.cpp
+++ b/src/upstream/http/connection_pool.cpp
@@ -111,7 +111,7 @@
       ++connection->idleGeneration;
       error_code ignored;
       connection->socket.cancel(ignored);
-      connection->settleTimer.cancel();
+      connection->settleAlarm.disarm();
       auto& connections = idle_[target];
       std::erase(connections, connection);
       if (connections.empty()) idle_.erase(target);
@@ -136,7 +136,7 @@
     if (connection->isOpen()) remove(target, connection);
     return;
   }
-  if (!connection->review.empty()) armSettleTimer(target, connection);
+  if (!connection->review.empty()) armSettleAlarm(target, connection);
   waitForInput(target, connection);
 }
 
@@ -211,12 +211,11 @@
   }
 }
 
-void ConnectionPool::armSettleTimer(const TargetId& target, const std::shared_ptr<Connection>& connection) {
-  connection->settleTimer.expires_at(connection->settledAt);
-  connection->settleTimer.async_wait(
-      [this, alive = alive_, target, connection, generation = connection->idleGeneration](error_code error) {
-        if (!error && *alive && connection->idleGeneration == generation) settle(target, connection);
-      });
+void ConnectionPool::armSettleAlarm(const TargetId& target, const std::shared_ptr<Connection>& connection) {
+  connection->settleAlarm.armAt(connection->settledAt, [this, alive = alive_, target, connection,
+                                                        generation = connection->idleGeneration] {
+    if (*alive && connection->idleGeneration == generation) settle(target, connection);
+  });
 }
 
 // What waits in the socket is read first.
--- a/src/upstream/http/connection_pool.hpp
+++ b/src/upstream/http/connection_pool.hpp
@@ -66,7 +66,7 @@
   bool avoidsNewConnections(const TargetId& target) const;
   bool evictOldest();
   void waitForInput(const TargetId& target, const std::shared_ptr<Connection>& connection);
-  void armSettleTimer(const TargetId& target, const std::shared_ptr<Connection>& connection);
+  void armSettleAlarm(const TargetId& target, const std::shared_ptr<Connection>& connection);
   void readExtraResponses(const TargetId& target, const std::shared_ptr<Connection>& connection);
   bool parseExtraResponses(const TargetId& target, Connection& connection);
   void handleExtraResponse(const TargetId& target, Connection& connection);
--- a/src/upstream/http/http_upstream_client.cpp
+++ b/src/upstream/http/http_upstream_client.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "clock/alarm.hpp"
 #include "upstream/http/call_response.hpp"
 
 namespace quilltide::net {
@@ -47,14 +48,14 @@
 class HttpUpstreamClient::Exchange : public std::enable_shared_from_this<HttpUpstreamClient::Exchange> {
  public:
   Exchange(HttpUpstreamClient& client, TargetId target, std::vector<UpstreamRequest> requests)
-      : client_(client), target_(std::move(target)), requests_(std::move(requests)), timer_(client.io_) {
+      : client_(client), target_(std::move(target)), requests_(std::move(requests)), alarm_(client.io_) {
     reported_.resize(requests_.size(), false);
     abandonedResults_.resize(requests_.size());
   }
 
   void start(std::shared_ptr<UpstreamConnection> connection, const tcp::endpoint& address) {
     auto self = shared_from_this();
-    armTimer();
+    armAlarm();
     if (connection) {
       connection_ = std::move(connection);
       previouslyRestedAt_ = connection_->restedAt;
@@ -67,7 +68,7 @@
     if (!connection_) return skipUnreported();
     newConnection_ = true;
     connectDeadline_ = startedAt_ + std::chrono::microseconds(client_.settings_.connectTimeout);
-    armTimer();
+    armAlarm();
     connection_->socket.async_connect(address, [this, self](error_code error) {
       if (stage_ == Stage::finished) return;
       client_.pool_.recordConnectTime(std::chrono::microseconds(elapsedSince(startedAt_)));
@@ -101,7 +102,7 @@
 
   void abortExchange() {
     stage_ = Stage::finished;
-    timer_.cancel();
+    alarm_.disarm();
     if (connection_) client_.pool_.discard(*connection_, ResponseReview::End::connectionLost);
   }
 
@@ -134,7 +135,7 @@
     });
     if (sentIndexes_.empty()) {
       stage_ = Stage::finished;
-      timer_.cancel();
+      alarm_.disarm();
       releaseConnection();
     } else {
       serializeRequest();
@@ -216,15 +217,14 @@
                                                       : message.timeout);
   }
 
-  // Arms the timer for the connect deadline or the earliest deadline of an unreported request.
-  void armTimer() {
+  // Arms the alarm for the connect deadline or the earliest deadline of an unreported request.
+  void armAlarm() {
     std::optional<Clock::time_point> earliest = connectDeadline_;
     for (std::size_t i = 0; i < requests_.size(); ++i)
       if (!reported_[i] && (!earliest || requestDeadline(i) < *earliest)) earliest = requestDeadline(i);
     if (!earliest) return;
-    timer_.expires_at(*earliest);
-    timer_.async_wait([this, self = shared_from_this()](error_code error) {
-      if (error || stage_ == Stage::finished) return;
+    alarm_.armAt(*earliest, [this, self = shared_from_this()] {
+      if (stage_ == Stage::finished) return;
       const auto now = Clock::now();
       if (connectDeadline_ && now >= *connectDeadline_) {
         client_.pool_.recordConnectTime(std::chrono::microseconds(elapsedSince(startedAt_)));
@@ -258,7 +258,7 @@
         continue;
       reportResult(i, mayHaveRun ? *abandonedResults_[i] : CallResult::connectFailed);
     }
-    noneWaiting ? client_.removeExchange(shared_from_this()) : armTimer();
+    noneWaiting ? client_.removeExchange(shared_from_this()) : armAlarm();
   }
 
   // Processes data that is waiting in the socket before a timeout or cancellation takes effect. Returns true
@@ -455,7 +455,7 @@
 
   void finish(const std::vector<MessageResult>& results, Micros retryAfter) {
     stage_ = Stage::finished;
-    timer_.cancel();
+    alarm_.disarm();
     for (std::size_t n = 0; n < sentIndexes_.size(); ++n)
       reportResult(sentIndexes_[n], results[n], retryAfter);
     client_.removeExchange(shared_from_this());
@@ -467,7 +467,7 @@
   std::vector<bool> reported_;
   std::vector<std::optional<CallResult>> abandonedResults_;  // set for requests that are no longer awaited
   std::vector<std::size_t> sentIndexes_;  // indexes into requests_, in the order they were written
-  asio::steady_timer timer_;
+  clocks::Alarm alarm_;
   Clock::time_point startedAt_ = Clock::now();
   std::optional<Clock::time_point> connectDeadline_;
   std::shared_ptr<UpstreamConnection> connection_;
--- a/src/upstream/http/http_upstream_client.hpp
+++ b/src/upstream/http/http_upstream_client.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/src/upstream/http/upstream_connection.cpp
+++ b/src/upstream/http/upstream_connection.cpp
@@ -29,7 +29,7 @@
   --openConnections_;
   boost::system::error_code ignored;
   socket.close(ignored);
-  settleTimer.cancel();
+  settleAlarm.disarm();
 }
 
 void UpstreamConnection::recordCall(const std::string& id, int attempt) {
--- a/src/upstream/http/upstream_connection.hpp
+++ b/src/upstream/http/upstream_connection.hpp
@@ -3,13 +3,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
 
+#include "clock/alarm.hpp"
 #include "config/platform.hpp"
 #include "net/bounded_input.hpp"
 #include "upstream/http/call_response.hpp"
@@ -32,7 +32,7 @@
   UpstreamConnection(boost::asio::io_context& io, std::size_t& openConnections,
                      const tcp::endpoint& peerAddress, std::uint64_t numberInLog)
       : socket(io),
-        settleTimer(io),
+        settleAlarm(io),
         peer(peerAddress),
         number(numberInLog),
         openConnections_(openConnections) {
@@ -58,7 +58,7 @@
 
   tcp::socket socket;  // non-blocking once connected
   BoundedInput input{socket, InputSource::target, kTargetInput};
-  boost::asio::steady_timer settleTimer;
+  clocks::Alarm settleAlarm;
   const tcp::endpoint peer;
   const std::uint64_t number;  // identifies the connection in the log
   ResponseReview review;
