--- a/verification/endless_forms.cpp
+++ b/verification/endless_forms.cpp
@@ -8,7 +8,7 @@
 
 // Large pieces arrive faster than they are parsed, so they are drawn more often.
 constexpr std::array<std::size_t, 9> kPieceBytes = {1, 7, 100, 1'500, 4'096, 16'384, 65'536, 65'536, 65'536};
-constexpr std::size_t kMaxWholeResponses = 2;
+constexpr std::size_t kMaxWholeResponses = 2, kWholeResponsesInterval = 4;
 // Lengths of parts that end: within the limits, close to them and above.
 constexpr std::array<std::size_t, 5> kPartBytes = {1, 60, 1'000, 7'900, 12'000};
 
@@ -127,7 +127,8 @@
       {"noise", "", noise(random)}};
   EndlessForm form = message(random, statusLine(random), firstLines);
   std::string before;
-  for (std::size_t count = random() % (kMaxWholeResponses + 1); count > 0; --count)
+  const bool behindWholeOnes = random() % kWholeResponsesInterval == 0;
+  for (std::size_t count = behindWholeOnes ? 1 + random() % kMaxWholeResponses : 0; count > 0; --count)
     before += statusLine(random) + "Content-Length: 2\r\n\r\nok";
   if (!before.empty()) form.name += " behind whole responses";
   form.prefix = before + form.prefix;
--- a/verification/input_limits.cpp
+++ b/verification/input_limits.cpp
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <thread>
 
 #include "client.hpp"
@@ -78,12 +79,12 @@
   }
 }
 
-std::vector<Play> drawPlays(std::uint64_t firstSeed, std::size_t count) {
+std::vector<Play> drawPlays(std::uint64_t firstSeed, std::size_t count, std::optional<Reader> onlyReader) {
   std::vector<Play> plays;
   for (std::size_t i = 0; i < count; ++i) {
     Play play;
     play.seed = firstSeed + i;
-    play.reader = static_cast<Reader>(i % kReaders);
+    play.reader = onlyReader.value_or(static_cast<Reader>(i % kReaders));
     Random random(play.seed);
     play.form = drawForm(random, play.reader);
     plays.push_back(std::move(play));
@@ -358,15 +359,19 @@
   app.add_option("--parallel", parallel, "plays at the same time")->check(CLI::Range(1, 16));
   app.add_option("--forwarder", options.program, "path of the forwarder's program");
   app.add_option("--mutants", mutants, "number of mutants that the program has; each must be found");
+  std::optional<std::size_t> reader;
+  app.add_option("--reader", reader, "number of the only reader to play, from 0")
+      ->check(CLI::Range(std::size_t{0}, kReaders - 1));
   app.add_flag("--verbose", options.verbose, "print each play");
   CLI11_PARSE(app, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   if (quick) runs = 10 * kReaders;
-  const std::vector<Play> plays = drawPlays(seed, runs);
+  const auto onlyReader = reader ? std::optional(static_cast<Reader>(*reader)) : std::nullopt;
+  const std::vector<Play> plays = drawPlays(seed, runs, onlyReader);
   if (mutants > 0) return findMutants(options, plays, parallel, mutants);
   Runner runner(options, plays, false);
   runner.run(parallel);
-  const auto playsOfReader = runs / kReaders;
+  const std::size_t playsOfReader = onlyReader ? runs : runs / kReaders;
   const bool allSpoilt = std::all_of(
       runner.unspoiltPlays.begin(), runner.unspoiltPlays.end(),
       [&](const auto& entry) { return entry.second < std::max<std::size_t>(1, playsOfReader / 2); });
