--- a/tests/one_response_test.cpp
+++ b/tests/one_response_test.cpp
@@ -187,6 +187,39 @@
   }
 }
 
+// Guards against a second response to a request that is complete, or refused, as its time runs out.
+TEST_F(CrossingEventsTest, ARequestThatTimesOutAsItIsCompleteGetsOneResponse) {
+  product.http->requestTimeout = milliseconds(150);
+  const std::string request = HttpTalk::request("GET", "/v1/messages/unknown");
+  enum class Event { rest, close, drain, finish };
+  for (const Event event : {Event::rest, Event::close, Event::drain, Event::finish}) {
+    for (const bool timeoutFirst : {false, true}) {
+      const std::string what =
+          "event " + std::to_string(static_cast<int>(event)) + (timeoutFirst ? " behind" : " ahead");
+      startFresh();
+      http->write(request.substr(0, 20));
+      pause(20);
+      const auto expiry = Clock::now() + product.http->requestTimeout;
+      const auto happen = [&] {
+        if (event == Event::rest) http->write(request.substr(20));
+        if (event == Event::close) http->close();
+        if (event == Event::drain) forwarder->httpFrontend().drain();
+        if (event == Event::finish) forwarder->httpFrontend().finish();
+      };
+      if (timeoutFirst) {
+        std::this_thread::sleep_until(expiry + milliseconds(5));
+        turnForwarder();
+        happen();
+      } else {
+        runAheadOfExpiredTimer(expiry, happen);
+      }
+      const std::vector<HttpAnswer> answers = allAnswers();
+      EXPECT_EQ(answers.size(), event == Event::close ? 0U : 1U) << what;
+      EXPECT_EQ(forwarder->httpFrontend().surplusResponses(), 0U) << what;
+    }
+  }
+}
+
 // The same pairs among streams: no event stands in the stream twice, and nothing comes behind its end.
 TEST_F(CrossingEventsTest, AStreamThatEndsAsAMessageEndsIsWhole) {
   for (const bool endFirst : {false, true}) {
