Responses: a head that arrives in parts ends at its limit

What callers would see: four responses whose header lines do not end took 79 and 83 MB within 0.7 s, and the forwarder would be killed for its memory.

Cause: the parser's limit holds for bytes that it has not consumed. Where a part of a head ends with a line all of it is consumed and stored, and the next part is measured from nought.

--- a/tests/input_limits_test.cpp
+++ b/tests/input_limits_test.cpp
@@ -1,6 +1,7 @@
 // Inputs that do not end, from each kind of peer that a forwarder reads: its memory stays bounded, it answers
 // PING meanwhile, and the message, the watch or the notice ends as after any unreadable answer.
 #include <fstream>
+#include <random>
 
 #include "net_fixture.hpp"
 
@@ -161,6 +162,41 @@
   }
 }
 
+// Guards against a head beyond its limit: the parser measures anew behind each part that ends with a line.
+TEST_F(InputLimitsTest, AHeadThatArrivesInPartsEndsAtItsLimit) {
+  constexpr std::size_t kLineBytes = 8, kMaxPartBytes = 4'000;
+  constexpr int kSeeds = 40;
+  std::string lines;
+  while (lines.size() < 20 * kTargetInput.headBytes) lines += "X-A: v\r\n";
+  tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    std::mt19937 random(static_cast<unsigned>(seed));
+    tcp::socket peer(io);
+    peer.connect(acceptor.local_endpoint());
+    tcp::socket socket = acceptor.accept();
+    socket.non_blocking(true);
+    BoundedInput input(socket, InputSource::target, kTargetInput);
+    CallResponse response;
+    std::string part = "HTTP/1.1 200 OK\r\n";
+    std::size_t sent = 0;
+    CallResponse::Progress progress = CallResponse::Progress::incomplete;
+    while (progress == CallResponse::Progress::incomplete && sent < 10 * kTargetInput.headBytes) {
+      asio::write(peer, asio::buffer(part));
+      ASSERT_TRUE(until([&] { return socket.available() == part.size(); }));
+      input.startTurn();
+      error_code error;
+      input.readSome(error);
+      progress = response.parse(input);
+      const bool endsWithLine = random() % 2 == 0;
+      const std::size_t size = 1 + random() % kMaxPartBytes;
+      part = lines.substr(sent, endsWithLine ? size / kLineBytes * kLineBytes + kLineBytes : size);
+      sent += part.size();
+    }
+    EXPECT_EQ(progress, CallResponse::Progress::malformed) << seed;
+    EXPECT_LE(sent, kTargetInput.headBytes + 2 * kMaxPartBytes + 2 * kLineBytes) << seed;
+  }
+}
+
 // Guards against a response on a connection without a call that is never complete, and holds the connection.
 TEST_F(InputLimitsTest, AnIncompleteSecondResponseEndsItsConnectionInTime) {
   target.handler = [](Link& link) { link.write(FakeServer::answer(200)); };
