--- a/review/stand_ins_2/kit.hpp
+++ b/review/stand_ins_2/kit.hpp
@@ -614,7 +614,7 @@
   }
   ~Forwarder() { stop(); }
   int port() const { return port_; }
-  std::string statePath() const { return folder_ + "/state"; }
+  int memoryMb = 192;
   std::string logPath() const { return folder_ + "/log"; }
   // The settings of our own (deploy/thistleyoke.toml); empty: none.
   void useServiceConfig(const std::string& text) {
@@ -626,7 +626,7 @@
                          {"listen", at(port_)},
                          {"discovery", at(discoveryPort)},
                          {"seed", "8c1f30d27a5be964"},
-                         {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", 3}}},
+                         {"limits", {{"cores", 1.0}, {"memory_mb", memoryMb}, {"sockets", 1024}, {"disk_mb", 3}}},
                          {"known", known},
                          {"settings", settings_}};
     std::ofstream(folder_ + "/config.json.new") << config.dump();
