--- a/review/6/refused_and_run.cpp
+++ b/review/6/refused_and_run.cpp
@@ -47,6 +47,11 @@
   };
   std::mutex mutex;
   std::vector<Refused> refused;
+  struct HandedIn {
+    std::string id, answer;
+    std::int64_t at = 0;
+  };
+  std::vector<std::vector<HandedIn>> handedIn(kCut);  // by client; goes into the record at the end
   std::atomic<bool> ended{false}, resting{false};
   std::atomic<int> takenOn{0};
   std::vector<std::thread> clients;
@@ -66,11 +71,14 @@
         }
         const std::string id = newId();
         std::string answer;
+        const std::int64_t sentAt = nowMs();
         if (!connection->write(enqueue(id, "c=paiement,d=16000,dest=7", "paiement " + id)) ||
             !connection->readLine(answer, 400)) {
+          handedIn[i].push_back({id, "no answer", sentAt});
           connection.reset();  // no answer: not handed in again here
           continue;
         }
+        handedIn[i].push_back({id, answer, sentAt});
         if (answer == "+OK") ++takenOn;
         if (!answer.starts_with("-BUSY")) continue;
         const std::int64_t wait = answer.size() > 6 ? std::stoll(answer.substr(6)) : 500;
@@ -121,10 +129,19 @@
   retries.join();
   sleepMs(500);
 
+  const auto ran = target.ran();
+  for (int i = 0; i < kCut; ++i) {
+    for (const HandedIn& one : handedIn[i]) {
+      std::string line = "at " + std::to_string(one.at) + " ms n" + std::to_string(i + 1) + " is handed " +
+                         one.id + ": " + one.answer;
+      if (const auto at = ran.find(one.id); at != ran.end())
+        for (const std::int64_t time : at->second) line += ", ran at " + std::to_string(time) + " ms";
+      record.line(line);
+    }
+  }
   record.line(std::to_string(takenOn) + " paiements were taken on at the first try, " +
               std::to_string(refused.size()) + " were refused");
   bool held = true;
-  const auto ran = target.ran();
   for (const Refused& one : refused) {
     if (!ran.contains(one.first)) continue;
     record.line("paiement " + one.first + " was refused and ran all the same, at " +
--- a/review/stand_ins_2/kit.hpp
+++ b/review/stand_ins_2/kit.hpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -519,9 +520,12 @@
  public:
   Process(const std::string& root, const std::string& command,
           const std::map<std::string, std::string>& environment, const std::string& logPath) {
+    const pid_t parent = ::getpid();
     pid_ = ::fork();
     if (pid_ < 0) throw CannotRun("cannot fork");
     if (pid_ > 0) return;
+    // Ends with the case, also when that is ended from outside.
+    if (::prctl(PR_SET_PDEATHSIG, SIGKILL) != 0 || ::getppid() != parent) ::_exit(127);
     for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
     const int log = ::open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(log, 1);
@@ -622,13 +626,14 @@
     std::ofstream(serviceConfig_) << text;
   }
   void writeConfig(int discoveryPort, const json& known) {
-    const json config = {{"name", name_},
-                         {"listen", at(port_)},
-                         {"discovery", at(discoveryPort)},
-                         {"seed", "8c1f30d27a5be964"},
-                         {"limits", {{"cores", 1.0}, {"memory_mb", memoryMb}, {"sockets", 1024}, {"disk_mb", 3}}},
-                         {"known", known},
-                         {"settings", settings_}};
+    const json config = {
+        {"name", name_},
+        {"listen", at(port_)},
+        {"discovery", at(discoveryPort)},
+        {"seed", "8c1f30d27a5be964"},
+        {"limits", {{"cores", 1.0}, {"memory_mb", memoryMb}, {"sockets", 1024}, {"disk_mb", 3}}},
+        {"known", known},
+        {"settings", settings_}};
     std::ofstream(folder_ + "/config.json.new") << config.dump();
     fs::rename(folder_ + "/config.json.new", folder_ + "/config.json");
     discoveryPort_ = discoveryPort;
