--- a/src/app/fleet_membership.cpp
+++ b/src/app/fleet_membership.cpp
@@ -26,11 +26,13 @@
 // Delivers the messages of a folder that was taken over: a forwarder without frontends, on its own
 // io_context.
 struct FleetMembership::TakenOverFolder {
-  TakenOverFolder(const PlatformConfig& config, const std::string& stateFolder, std::uint64_t epoch)
-      : io(std::make_unique<boost::asio::io_context>(1)),
+  TakenOverFolder(const PlatformConfig& config, const std::string& folder, std::uint64_t epoch)
+      : stateFolder(folder),
+        io(std::make_unique<boost::asio::io_context>(1)),
         forwarder(std::make_unique<Forwarder>(*io, config, ServiceConfig{},
-                                              std::make_unique<Ownership>(stateFolder, epoch))) {}
+                                              std::make_unique<Ownership>(folder, epoch))) {}
   ~TakenOverFolder() { forwarder.reset(); }
+  const std::string stateFolder;
   std::unique_ptr<boost::asio::io_context> io;
   std::unique_ptr<Forwarder> forwarder;
   std::unique_ptr<clocks::Alarm> pollAlarm;
@@ -92,17 +94,23 @@
     coordinatesTakeovers_ = true;
     return scheduleScan();
   }
-  if (e.lease == fleet::folderLeaseName(name_)) {
-    if (!onFolderAcquired_) return;  // reacquired: the first epoch stays in use
-    std::cerr << "fleet: acquired the state folder, epoch " << e.token << std::endl;
-    session_.put(fleet::kFolderKeyPrefix + name_, registration(configFile_, stateFolder_), {}, e.lease,
-                 [](const fleet::Result&) {});
-    std::exchange(onFolderAcquired_, nullptr)(e.token);
-    if (settings_.takeOverEnabled) session_.acquire(fleet::kTakeoverLeaseName, false);
-    return;
-  }
+  if (e.lease == fleet::folderLeaseName(name_)) return handleOwnFolderAcquired(e.lease, e.token);
   const std::string prefix = fleet::folderLeaseName("");
-  if (e.lease.starts_with(prefix)) startTakeover(e.lease.substr(prefix.size()), e.token);
+  if (!e.lease.starts_with(prefix)) return;
+  const std::string name = e.lease.substr(prefix.size());
+  if (takenOverFolders_.contains(name)) return renewTakeover(name, e.token);
+  startTakeover(name, e.token);
+}
+
+// Whoever had the folder in between has removed its registration, so it is registered each time.
+void FleetMembership::handleOwnFolderAcquired(const std::string& lease, std::uint64_t epoch) {
+  std::cerr << "fleet: acquired the state folder" << (acquiredBefore_ ? " again" : "") << ", epoch " << epoch
+            << std::endl;
+  session_.put(fleet::kFolderKeyPrefix + name_, registration(configFile_, stateFolder_), {}, lease,
+               [](const fleet::Result&) {});
+  onFolderAcquired_(epoch);
+  if (std::exchange(acquiredBefore_, true)) return;
+  if (settings_.takeOverEnabled) session_.acquire(fleet::kTakeoverLeaseName, false);
 }
 
 // ---- Takeover of orphaned folders ----
@@ -149,7 +157,7 @@
 }
 
 void FleetMembership::startTakeover(const std::string& name, std::uint64_t epoch) {
-  if (takenOverFolders_.contains(name) || !takeover_.takingOver().contains(name)) return;
+  if (!takeover_.takingOver().contains(name)) return;
   try {
     const json registrationJson = json::parse(registrations_.at(name));
     const std::string state = registrationJson.at("state").get<std::string>();
@@ -167,6 +175,18 @@
   }
 }
 
+// The lease of a folder that is being played was lost and granted again.
+void FleetMembership::renewTakeover(const std::string& name, std::uint64_t epoch) {
+  TakenOverFolder& folder = *takenOverFolders_.at(name);
+  std::cerr << "fleet: continues with the folder of " << name << " by epoch " << epoch << std::endl;
+  try {
+    folder.forwarder->engine().renewOwnership(std::make_unique<Ownership>(folder.stateFolder, epoch));
+  } catch (const std::exception& problem) {
+    std::cerr << "fleet: cannot continue with the folder of " << name << ": " << problem.what() << std::endl;
+    folder.fenced = true;
+  }
+}
+
 void FleetMembership::runTakenOver(const std::string& name) {
   TakenOverFolder& folder = *takenOverFolders_.at(name);
   folder.io->restart();
--- a/src/app/fleet_membership.hpp
+++ b/src/app/fleet_membership.hpp
@@ -21,8 +21,8 @@
 
 class FleetMembership {
  public:
-  // `onFolderAcquired` is called once, when the lease of the folder is held, with its fencing token as
-  // the epoch.
+  // `onFolderAcquired` is called each time the lease of the folder is granted, with its fencing token as the
+  // epoch: once at the start, and again after the lease was lost.
   FleetMembership(boost::asio::io_context& io, const FleetSettings& settings, std::string name,
                   std::string configFile, std::string stateFolder,
                   std::function<void(std::uint64_t epoch)> onFolderAcquired);
@@ -41,7 +41,9 @@
   void scheduleScan();
   void scanFolders();
   void claimOrphanedFolders(const nlohmann::json& values, const nlohmann::json& leases);
+  void handleOwnFolderAcquired(const std::string& lease, std::uint64_t epoch);
   void startTakeover(const std::string& name, std::uint64_t epoch);
+  void renewTakeover(const std::string& name, std::uint64_t epoch);
   void runTakenOver(const std::string& name);
   void finishTakeover(const std::string& name, bool succeeded);
 
@@ -49,6 +51,7 @@
   FleetSettings settings_;
   std::string name_, configFile_, stateFolder_;
   std::function<void(std::uint64_t)> onFolderAcquired_;
+  bool acquiredBefore_ = false;  // the lease of the own folder was granted before
   fleet::SessionClient session_;
   fleet::TakeoverPlanner takeover_;
   clocks::Alarm scanAlarm_;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -79,12 +79,29 @@
     if (fleet.name.empty()) fleet.name = loaded_.config.name;
     membership_ = std::make_unique<FleetMembership>(
         io_, fleet, fleet.name, loaded_.platformConfigPath, loaded_.config.stateFolder,
-        [this](std::uint64_t epoch) { boost::asio::post(io_, [this, epoch] { serveFolder(epoch); }); });
+        [this](std::uint64_t epoch) {
+          boost::asio::post(io_, [this, epoch] { handleFolderAcquired(epoch); });
+        });
     membership_->start();
   }
   int status() const { return status_; }
 
  private:
+  void handleFolderAcquired(std::uint64_t epoch) {
+    if (forwarder_) return renewOwnership(epoch);
+    serveFolder(epoch);
+  }
+
+  // The lease of the folder was lost meanwhile. Without the new epoch's marker the earlier epoch stays in
+  // use, and the next commit finds out whether another process has the folder.
+  void renewOwnership(std::uint64_t epoch) {
+    try {
+      forwarder_->engine().renewOwnership(std::make_unique<Ownership>(loaded_.config.stateFolder, epoch));
+    } catch (const std::exception& problem) {
+      std::cerr << "thistleyoke: epoch " << epoch << " is not used: " << problem.what() << std::endl;
+    }
+  }
+
   void serveFolder(std::uint64_t epoch) {
     try {
       serve(std::make_unique<Ownership>(loaded_.config.stateFolder, epoch));
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -273,10 +273,19 @@
   });
 }
 
+void Engine::renewOwnership(std::unique_ptr<Ownership> ownership) {
+  if (!journal_.renewOwnership(std::move(ownership))) return reportFencing();
+  scheduleCommit();
+}
+
+void Engine::reportFencing() {
+  if (journal_.fenced() && onFenced_) boost::asio::post(io_, std::exchange(onFenced_, nullptr));
+}
+
 bool Engine::commit() {
   commitPosted_ = false;
   if (!journal_.commit()) {
-    if (journal_.fenced() && onFenced_) boost::asio::post(io_, std::exchange(onFenced_, nullptr));
+    reportFencing();
     return false;
   }
   // A subscriber may submit messages, which changes the journal: no pointer into it is kept across the
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -48,6 +48,10 @@
   // Sets the handler that is called once if another process takes over the state folder. From then on no
   // message is accepted, no call is sent and no outcome is reported.
   void onFenced(std::function<void()> handler) { onFenced_ = std::move(handler); }
+  // Continues under a higher epoch of the state folder (see Journal::renewOwnership). If that is not
+  // possible, the handler of onFenced() is called. Throws std::runtime_error if the folder cannot be claimed
+  // or read.
+  void renewOwnership(std::unique_ptr<Ownership> ownership);
   // Adds a handler for final outcomes. Each outcome is reported once, in the order of positions, after it was
   // written to disk.
   void subscribe(OutcomeHandler handler) { subscribers_.push_back(std::move(handler)); }
@@ -104,6 +108,7 @@
   void applyDirectory(const DirectoryUpdate& update);
   void scheduleProcessing(Micros at);
   void scheduleCommit();
+  void reportFencing();
   bool commit();
   using Replies = std::vector<std::pair<Reply, std::vector<ReplyHandler>>>;
   Replies applyRejections(const std::vector<Action>& actions);
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -182,6 +182,38 @@
   appendRecord(positionRecord(epoch_, lastPosition_));
 }
 
+// The marker comes first: no lower epoch acts any more when the folder is read. As long as this journal's
+// file is the newest one, no other owner has acted; one that was still reading may add its file later, and
+// that is lower than the file of this epoch.
+bool Journal::renewOwnership(std::unique_ptr<Ownership> ownership) {
+  if (fenced_) return false;
+  if (ownership->epoch() <= ownership_->epoch()) return true;
+  ownership->claim();
+  const std::string previousPath = ownership->previousJournalPath();
+  if (previousPath != path_ && !adoptPreviousOwner(previousPath)) {
+    fenced_ = true;
+    return false;
+  }
+  ownership_ = std::move(ownership);
+  path_ = ownership_->journalPath();
+  rewriteNeeded_ = true;  // until this epoch's file is complete, no commit succeeds
+  if (compact()) {
+    durablePosition_ = lastPosition_;
+    ownership_->removeOlderEpochs();
+  }
+  return true;
+}
+
+// Reads what another owner wrote after it had read all that this journal has committed. Returns false if not
+// all messages have ended.
+bool Journal::adoptPreviousOwner(const std::string& previousPath) {
+  if (!pendingMessages_.empty() || previousPath.empty()) return false;
+  const std::uint64_t knownPosition = lastPosition_;
+  replay(previousPath, false);
+  durablePosition_ = knownPosition;
+  return pendingMessages_.empty();
+}
+
 Journal::~Journal() {
   if (file_ >= 0) ::close(file_);
 }
@@ -260,7 +292,8 @@
     outcome.attempts = record.at(8).get<int>();
     outcome.digest = {record.at(9).get<std::uint64_t>(), record.at(10).get<std::uint64_t>()};
     lastPosition_ = std::max(lastPosition_, outcome.position);
-    if (retention_.enabled()) retainOutcome(std::move(outcome));
+    const bool known = !outcomes_.empty() && outcome.position <= outcomes_.back().position;
+    if (retention_.enabled() && !known) retainOutcome(std::move(outcome));
     return;
   }
   PendingMessage* message = find(id);
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -116,6 +116,12 @@
   // written by the next successful commit, so the caller must discard() messages that it does not
   // accept.
   [[nodiscard]] bool commit();
+  // Continues under a higher epoch, in that epoch's file, after the lease of the folder was lost and granted
+  // again. What another owner wrote in between is read. Returns false if it left messages that have not
+  // ended, or if messages of this journal have not ended that it may have changed: the journal is fenced
+  // then, and the folder has to be recovered by a new start. Throws std::runtime_error if the folder cannot
+  // be claimed or read.
+  [[nodiscard]] bool renewOwnership(std::unique_ptr<Ownership> ownership);
   // Whether another process has claimed the folder. Every later commit fails, and no action that
   // requires a commit may be taken.
   bool fenced() const { return fenced_; }
@@ -164,6 +170,8 @@
   void rememberEnded(const std::string& id, const Digest& digest);
   void retainOutcome(FinalOutcome outcome);
 
+  bool adoptPreviousOwner(const std::string& previousPath);
+
   const ClockReading openedAt_ = readClocks();
   std::unique_ptr<Ownership> ownership_;
   bool fenced_ = false;
--- a/tests/harness/takeover_test.cpp
+++ b/tests/harness/takeover_test.cpp
@@ -51,6 +51,12 @@
   bool accepted(const std::string& id) {
     return answers.contains(id) && answers[id] == SubmitResult::Kind::accepted;
   }
+  bool holds(const std::string& member, const std::string& lease) {
+    const auto answer = get("k1", "/v1/leases").second.value("leases", nlohmann::json::array());
+    return std::any_of(answer.begin(), answer.end(), [&](const nlohmann::json& entry) {
+      return entry.at("lease") == lease && entry.at("holder") == member;
+    });
+  }
   std::size_t takeoverCount() { return harness.timeline().countMatches("f[0-9]", "fleet: takes over f"); }
 
   EffectLog effects;
@@ -154,6 +160,32 @@
   EXPECT_TRUE(waitUntil([&] { return effects.isSettled("last"); })) << harness.timeline().text();
 }
 
+// A forwarder that was cut off from its coordinators for longer than its term, and has the lease of its
+// folder back, once ended with the next message; and nobody knew of its folder any more.
+TEST_F(TakeoverTest, ForwarderThatHasItsLeaseBackServesOn) {
+  startForwarders(2);
+  submitMessage("f0", "before", "paiement");
+  ASSERT_TRUE(waitUntil([&] { return effects.isSettled("before"); }));
+  for (int round = 1; round <= 2; ++round) {
+    cut("f0->k1.http");
+    const auto takeovers = static_cast<std::size_t>(round);
+    ASSERT_TRUE(waitUntil(
+        [&] { return harness.timeline().countMatches("f1", "all messages of f0 have ended") == takeovers; },
+        20'000))
+        << harness.timeline().text();
+    heal("f0->k1.http");
+    ASSERT_TRUE(waitUntil([&] { return holds("f0", "folder/f0"); })) << get("k1", "/v1/leases").second;
+    harness.runFor(milliseconds(500));  // longer than an interval between two renewals
+    const std::string id = "after" + std::to_string(round);
+    submitMessage("f0", id, "paiement");
+    EXPECT_TRUE(waitUntil([&] { return effects.isSettled(id); })) << harness.timeline().text();
+    EXPECT_TRUE(harness.child("f0").running());
+  }
+  EXPECT_EQ(effects.countOf("before") + effects.countOf("after1") + effects.countOf("after2"), 3U);
+  harness.child("f0").kill();
+  EXPECT_TRUE(waitUntil([&] { return takeoverCount() == 3; }, 20'000)) << harness.timeline().text();
+}
+
 TEST_F(TakeoverTest, ForwardersDeliverWithoutCoordinatorsButStartsWait) {
   startForwarders(2);
   harness.child("k1").kill();
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -228,6 +228,116 @@
   EXPECT_FALSE(owner.isCurrentOwner());
 }
 
+// ---- A lease that was lost and granted again ----
+
+constexpr std::size_t kDisk = 3'000'000;
+
+std::unique_ptr<Ownership> epoch(const TempFolder& folder, std::uint64_t number) {
+  return std::make_unique<Ownership>(folder.path, number);
+}
+
+// An owner whose folder nobody else has had keeps its messages, and slower claims by older leases fail.
+TEST(RenewedOwnership, KeepsPendingMessagesIfNobodyHadTheFolder) {
+  TempFolder folder;
+  Journal owner(folder.path, kDisk, {}, epoch(folder, 1));
+  owner.accept(message("m"));
+  ASSERT_TRUE(owner.commit());
+  ASSERT_TRUE(owner.renewOwnership(epoch(folder, 3)));
+  EXPECT_THROW(Journal(folder.path, kDisk, {}, epoch(folder, 2)), std::runtime_error);
+  owner.accept(message("n"));
+  EXPECT_TRUE(owner.commit());
+  EXPECT_EQ(Journal(folder.path, kDisk, {}, epoch(folder, 4)).pendingMessages().size(), 2U);
+}
+
+// An owner without messages once stopped at the marker of a successor that had given the folder back.
+TEST(RenewedOwnership, ContinuesAfterAnotherOwnerThatLeftNothing) {
+  TempFolder folder;
+  Journal owner(folder.path, kDisk, {}, epoch(folder, 1));
+  owner.accept(message("ended"));
+  owner.recordEnd("ended");
+  ASSERT_TRUE(owner.commit());
+  { Journal successor(folder.path, kDisk, {}, epoch(folder, 2)); }
+  ASSERT_TRUE(owner.renewOwnership(epoch(folder, 3)));
+  owner.accept(message("m"));
+  EXPECT_TRUE(owner.commit());
+  EXPECT_NE(owner.digestOf("ended"), nullptr);
+  EXPECT_NE(Journal(folder.path, kDisk, {}, epoch(folder, 4)).find("m"), nullptr);
+}
+
+// Messages that another owner may have called are not called by what this one remembers.
+TEST(RenewedOwnership, EndsIfAnotherOwnerHadItsPendingMessages) {
+  TempFolder folder;
+  Journal owner(folder.path, kDisk, {}, epoch(folder, 1));
+  owner.accept(message("m"));
+  ASSERT_TRUE(owner.commit());
+  {
+    Journal successor(folder.path, kDisk, {}, epoch(folder, 2));
+    successor.recordEnd("m");
+    ASSERT_TRUE(successor.commit());
+  }
+  EXPECT_FALSE(owner.renewOwnership(epoch(folder, 3)));
+  EXPECT_TRUE(owner.fenced());
+  EXPECT_FALSE(owner.commit());
+  EXPECT_TRUE(Journal(folder.path, kDisk, {}, epoch(folder, 4)).pendingMessages().empty());
+}
+
+// Another process of this forwarder took messages on while this one was cut off: they are not dropped.
+TEST(RenewedOwnership, EndsIfAnotherOwnerLeftMessages) {
+  TempFolder folder;
+  Journal owner(folder.path, kDisk, {}, epoch(folder, 1));
+  {
+    Journal other(folder.path, kDisk, {}, epoch(folder, 2));
+    other.accept(message("m"));
+    ASSERT_TRUE(other.commit());
+  }
+  EXPECT_FALSE(owner.renewOwnership(epoch(folder, 3)));
+  EXPECT_TRUE(owner.fenced());
+  EXPECT_NE(Journal(folder.path, kDisk, {}, epoch(folder, 4)).find("m"), nullptr);
+}
+
+// A successor that marked the folder and was stopped there has not acted, and does not afterwards.
+TEST(RenewedOwnership, KeepsPendingMessagesIfAnotherOwnerOnlyMarkedTheFolder) {
+  TempFolder folder;
+  Journal owner(folder.path, kDisk, {}, epoch(folder, 1));
+  owner.accept(message("m"));
+  ASSERT_TRUE(owner.commit());
+  Ownership(folder.path, 2).claim();
+  ASSERT_TRUE(owner.renewOwnership(epoch(folder, 3)));
+  EXPECT_NE(owner.find("m"), nullptr);
+  EXPECT_THROW(Journal(folder.path, kDisk, {}, epoch(folder, 2)), std::runtime_error);
+  EXPECT_NE(Journal(folder.path, kDisk, {}, epoch(folder, 4)).find("m"), nullptr);
+}
+
+// A grant that was overtaken by a newer one of another member.
+TEST(RenewedOwnership, IsNotPossibleByAnEpochThatIsTooLow) {
+  TempFolder folder;
+  Journal owner(folder.path, kDisk, {}, epoch(folder, 1));
+  Journal successor(folder.path, kDisk, {}, epoch(folder, 5));
+  EXPECT_THROW(static_cast<void>(owner.renewOwnership(epoch(folder, 3))), std::runtime_error);
+  EXPECT_TRUE(successor.renewOwnership(epoch(folder, 6)));
+}
+
+// Outcomes stay, and those that the other owner recorded are added.
+TEST(RenewedOwnership, KeepsOutcomes) {
+  TempFolder folder;
+  const OutcomeRetention retention{60'000'000, 100};
+  Journal owner(folder.path, kDisk, retention, epoch(folder, 1));
+  const auto end = [](Journal& journal, const std::string& id) {
+    journal.recordOutcome(journal.accept(message(id)), FinalState::delivered, 0, 1'000);
+    journal.recordEnd(id);
+    ASSERT_TRUE(journal.commit());
+  };
+  end(owner, "a");
+  {
+    Journal other(folder.path, kDisk, retention, epoch(folder, 2));
+    end(other, "b");
+  }
+  ASSERT_TRUE(owner.renewOwnership(epoch(folder, 3)));
+  end(owner, "c");
+  for (const std::string id : {"a", "b", "c"}) EXPECT_NE(owner.durableOutcome(id), nullptr) << id;
+  EXPECT_EQ(owner.lastDurablePosition(), 3U);
+}
+
 // ---- Which folders are claimed ----
 
 using Names = std::set<std::string>;
