--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -319,6 +319,8 @@
   const std::vector<Event> events = std::exchange(events_, {});
   const std::vector<Action> actions = sender_.processEvents(now, events);
 
+  // Messages that are not written can be rejected for certain.
+  if (!accepting_.empty()) journal_.refreshOwnership();
   Replies replies = applyRejections(actions);
   journalAccepted();
   std::vector<Call> calls;
@@ -333,8 +335,7 @@
   acceptingById_.clear();
   acceptingBytes_ = 0;
   const bool committed = commit();
-  const Reply acceptedReply =
-      committed ? Reply{Kind::acknowledged} : rejectForCapacity(settings_.maxRetryAfter);
+  const Reply acceptedReply = committed ? Reply{Kind::acknowledged} : replyToUncommitted();
   for (auto& [handle, accepting] : acceptedMessages)
     replies.emplace_back(acceptedReply, std::move(accepting.replies));
   if (!committed) calls = rollBack(acceptedMessages, calls);
@@ -395,6 +396,12 @@
   return replies;
 }
 
+// A rejection tells the client that the message will not be delivered.
+Reply Engine::replyToUncommitted() const {
+  if (journal_.uncertain()) return {Kind::failed, Reason::mayBeDelivered};
+  return rejectForCapacity(settings_.maxRetryAfter);
+}
+
 void Engine::journalAccepted() {
   for (auto& [handle, accepting] : accepting_) {
     PendingMessage pending;
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -112,6 +112,7 @@
   bool commit();
   using Replies = std::vector<std::pair<Reply, std::vector<ReplyHandler>>>;
   Replies applyRejections(const std::vector<Action>& actions);
+  Reply replyToUncommitted() const;
   void journalAccepted();
   Effect effectOf(const PendingMessage& message) const;
   bool canShareCall(const UpstreamRequest& first, const UpstreamRequest& second) const;
--- a/src/engine/message.cpp
+++ b/src/engine/message.cpp
@@ -37,6 +37,8 @@
       return "unknown destination";
     case Reply::Reason::deliveryFailed:
       return "given up";
+    case Reply::Reason::mayBeDelivered:
+      return "given up, but it may be delivered";
     case Reply::Reason::idConflict:
       return "the id belongs to another message";
   }
--- a/src/engine/message.hpp
+++ b/src/engine/message.hpp
@@ -40,6 +40,7 @@
     noCapacity,          // with `rejected`: this forwarder has no capacity for any destination
     unknownDestination,  // with `failed`
     deliveryFailed,      // with `failed`: rejected by the decision module
+    mayBeDelivered,      // with `failed`: not known whether it was accepted; it may be delivered
     idConflict,          // with `conflict`
   };
   Kind kind = Kind::failed;
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -459,7 +459,7 @@
     return true;
   }
   const int error = errno;
-  if (::ftruncate(file_, static_cast<off_t>(fileBytes_)) != 0) rewriteNeeded_ = true;
+  if (::ftruncate(file_, static_cast<off_t>(fileBytes_)) != 0) uncertain_ = rewriteNeeded_ = true;
   logFailure("write failed", error);
   return false;
 }
@@ -472,14 +472,20 @@
 
 // Ownership is checked after the write: only then may the caller act on what was written (see Ownership).
 bool Journal::commit() {
+  uncertain_ = false;
   if (fenced_) return false;
   if (uncommitted_.empty() && !rewriteNeeded_) return true;
   const bool success = writeUncommitted();
   if (success && std::exchange(failing_, false)) std::cerr << "journal: writes succeed again" << std::endl;
-  fenced_ = ownership_ && !ownership_->isCurrentOwner();
+  uncertain_ = !refreshOwnership() || uncertain_;
   return success && !fenced_;
 }
 
+bool Journal::refreshOwnership() {
+  fenced_ = fenced_ || (ownership_ && !ownership_->isCurrentOwner());
+  return !fenced_;
+}
+
 bool Journal::writeUncommitted() {
   const bool overLimit = fileBytes_ + uncommitted_.size() + reservedBytes_ + kBlockBytes > diskBytes_;
   const bool mostlyObsolete = fileBytes_ > 4 * (reservedBytes_ + outcomeBytes_ + kSpareBytes);
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -116,6 +116,13 @@
   // written by the next successful commit, so the caller must discard() messages that it does not
   // accept.
   [[nodiscard]] bool commit();
+  // After a failed commit: whether what it should have written may count all the same. Another owner may have
+  // read it, or it could not be removed from the file. The messages that it accepts may be delivered then, so
+  // their clients must not be told that they were rejected.
+  bool uncertain() const { return uncertain_; }
+  // Looks for another owner without writing anything. Returns false if there is one; the journal is fenced
+  // then, and no later change is written.
+  bool refreshOwnership();
   // Continues under a higher epoch, in that epoch's file, after the lease of the folder was lost and granted
   // again. What another owner wrote in between is read. Returns false if it left messages that have not
   // ended, or if messages of this journal have not ended that it may have changed: the journal is fenced
@@ -182,6 +189,7 @@
   std::size_t reservedBytes_ = 0;  // upper bound of the space that pending messages need in one file
   std::string uncommitted_;
   bool failing_ = false;        // the last commit failed, and that was logged
+  bool uncertain_ = false;      // see uncertain()
   bool rewriteNeeded_ = false;  // the file is incomplete and must be replaced by compaction
   std::unordered_map<std::string, std::unique_ptr<PendingMessage>> pendingMessages_;
   std::unordered_map<std::string, Digest> endedDigests_;
--- a/tests/race_conditions_test.cpp
+++ b/tests/race_conditions_test.cpp
@@ -246,8 +246,8 @@
     fill_.clear();
     accept();
   }
-  std::size_t bytes = 0;  // that came on any of its connections
-  std::size_t connections = 0;
+  std::size_t bytes = 0;        // that came on any of its connections
+  std::size_t connections = 0;  // the first one filled the queue
 
  private:
   void accept() {
@@ -316,6 +316,48 @@
   EXPECT_GE(std::chrono::steady_clock::now() - *told, milliseconds(2'500));
 }
 
+// ---- A folder that is taken over ----
+
+// An owner that is held up at each look for another owner.
+struct HeldUpOwnership : Ownership {
+  HeldUpOwnership(const std::string& folder, std::function<void()> onLook)
+      : Ownership(folder, 1), onLook_(std::move(onLook)) {}
+  bool isCurrentOwner() const override {
+    onLook_();
+    return Ownership::isCurrentOwner();
+  }
+
+ private:
+  std::function<void()> onLook_;
+};
+
+// A message that its owner rejected was once in the journal that its successor had read, and was delivered.
+TEST_F(NetFixture, AnOwnerRejectsOnlyWhatItsSuccessorDoesNotHave) {
+  const std::vector<std::string> expected = {"-BUSY 2000", "-ERR given up, but it may be delivered", "+OK"};
+  for (std::size_t look = 0; look < expected.size(); ++look) {
+    Folder owned;
+    std::unique_ptr<Journal> successor;
+    std::optional<std::size_t> looks;  // since the message was submitted
+    auto ownership = std::make_unique<HeldUpOwnership>(owned.path(), [&] {
+      if (!looks || (*looks)++ != look) return;
+      successor = std::make_unique<Journal>(owned.path(), 3'000'000, OutcomeRetention{},
+                                            std::make_unique<Ownership>(owned.path(), 2));
+    });
+    forwarder = std::make_unique<Forwarder>(*loops.own, parsePlatformConfig(config, owned.path()), product,
+                                            std::move(ownership));
+    forwarder->start();
+    client = std::make_unique<FakeClient>(loops, forwarder->address());
+    looks = 0;
+    client->enqueue("m1", "unsafe");
+    EXPECT_EQ(client->line(), expected[look]);
+    ASSERT_TRUE(until([&] { return successor != nullptr; }));
+    EXPECT_EQ(successor->find("m1") != nullptr, look > 0) << look;
+    pause(50);
+    EXPECT_TRUE(target.requests.empty()) << look;  // the successor may call it now
+    kill();
+  }
+}
+
 // ---- Alarms ----
 
 // Two that have expired together: the first sets the second anew, whose handler is queued by then and must
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -228,6 +228,30 @@
   EXPECT_FALSE(owner.isCurrentOwner());
 }
 
+// The owner stops between its write and its look, and the successor reads the folder meanwhile: what it has
+// read may be called, so the owner may not reject it.
+TEST(Takeover, ACommitThatASuccessorMayHaveReadIsUncertain) {
+  for (const bool looksBeforeWriting : {false, true}) {
+    TempFolder folder;
+    auto owned = std::make_unique<Stopped>(folder.path, 1);
+    const auto stop = owned->stop;
+    Journal owner(folder.path, 3'000'000, {}, std::move(owned));
+    std::unique_ptr<Journal> successor;
+    *stop = [&] {
+      if (!successor)
+        successor = std::make_unique<Journal>(folder.path, 3'000'000, OutcomeRetention{},
+                                              std::make_unique<Ownership>(folder.path, 2));
+    };
+    if (looksBeforeWriting) {
+      EXPECT_FALSE(owner.refreshOwnership());
+    }
+    owner.accept(message("m"));
+    EXPECT_FALSE(owner.commit());
+    EXPECT_EQ(owner.uncertain(), !looksBeforeWriting);
+    EXPECT_EQ(successor->find("m") != nullptr, !looksBeforeWriting);
+  }
+}
+
 // ---- A lease that was lost and granted again ----
 
 constexpr std::size_t kDisk = 3'000'000;
