--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -242,7 +242,10 @@
   }
   upstream_->updateTargets(update);
   const Micros now = steadyNow();
-  for (const std::int64_t destination : upstream_->destinations()) destinationLastSeen_[destination] = now;
+  // Those that had a target until now count from this moment, however long ago the last update came.
+  for (const std::int64_t destination : listedDestinations_) destinationLastSeen_[destination] = now;
+  listedDestinations_ = upstream_->destinations();
+  for (const std::int64_t destination : listedDestinations_) destinationLastSeen_[destination] = now;
   std::erase_if(destinationLastSeen_,
                 [&](const auto& entry) { return entry.second < now - destinationRetention_; });
 }
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -130,6 +130,7 @@
   SettingNames names_;
   DirectoryUpdate initialDirectory_;
   std::map<std::int64_t, Micros> destinationLastSeen_;  // time at which each destination last had a target
+  std::set<std::int64_t> listedDestinations_;           // those with a target in the current directory
   Micros destinationRetention_ = 0;
   std::set<std::string> loggedUnknownNames_;  // logged once each
   Journal journal_;
--- a/src/frontend/resp/resp_frontend.cpp
+++ b/src/frontend/resp/resp_frontend.cpp
@@ -48,9 +48,6 @@
   return value;
 }
 
-// Not counted as a protocol error: a correct client may reuse an id by mistake.
-const std::string kConflictReply = std::string("-ERR ") + reasonText(Reply::Reason::idConflict);
-
 std::string replyLine(const Reply& reply) {
   switch (reply.kind) {
     case Reply::Kind::acknowledged:
@@ -91,10 +88,18 @@
     if (lingering_) waitForInput();
   }
 
-  void answer(std::size_t requestIndex, const std::string& reply) {
+  // Answers a valid request. It is no protocol error, whatever becomes of the message: the requests behind it
+  // are still processed.
+  void answer(std::size_t requestIndex, const Reply& reply) {
     if (closed_ || requestIndex < firstIndex_ || requestIndex - firstIndex_ >= replies_.size()) return;
     markUsed();
-    recordReply(requestIndex, reply);
+    setReply(requestIndex, replyLine(reply));
+    if (reply.kind == Reply::Kind::failed) {
+      ++failedSubmissions_;
+    } else {
+      hasSubmitted_ = true;
+      consecutiveErrors_ = 0;
+    }
     flush();
   }
 
@@ -280,25 +285,21 @@
     replies_.emplace_back();
     markUsed();
     memory_.recordRequest();
+    const std::uint64_t failedBefore = failedSubmissions_;
     const std::string reply = arguments != nullptr
                                   ? frontend_->submit(*arguments, shared_from_this(), requestIndex)
                                   : "-ERR request must be an array of bulk strings";
-    if (reply.empty()) {
+    if (!reply.empty()) {
+      setReply(requestIndex, reply);
+      if (reply.starts_with("-ERR") && ++consecutiveErrors_ >= kMaxConsecutiveErrors) closing_ = true;
+    } else if (failedSubmissions_ == failedBefore) {
       submittedThisTurn_ = true;
       flooding_ = false;
-    } else {
-      recordReply(requestIndex, reply);
     }
   }
 
-  void recordReply(std::size_t requestIndex, const std::string& reply) {
+  void setReply(std::size_t requestIndex, const std::string& reply) {
     replies_[requestIndex - firstIndex_] = reply + "\r\n";
-    if (reply.starts_with("-ERR") && reply != kConflictReply) {
-      if (++consecutiveErrors_ >= kMaxConsecutiveErrors) closing_ = true;
-    } else if (reply != "+PONG") {
-      hasSubmitted_ = true;
-      consecutiveErrors_ = 0;
-    }
   }
 
   void flush() {
@@ -353,7 +354,8 @@
   std::deque<std::optional<std::string>> replies_;  // in request order; empty until the reply is known
   std::size_t firstIndex_ = 0;
   LingeringClose lingeringClose_;
-  int consecutiveErrors_ = 0;                      // since the last accepted or rejected submission
+  int consecutiveErrors_ = 0;            // protocol errors since the last accepted or rejected submission
+  std::uint64_t failedSubmissions_ = 0;  // valid requests that were answered with an error
   Clock::time_point lastActivity_ = Clock::now();  // or when the incomplete request began
   std::string outgoing_, sending_;
   bool hasSubmitted_ = false;       // has submitted a message
@@ -442,9 +444,8 @@
     if (!destination) throw BadRequest("dest is missing");
     submission.destination = *destination;
     if (const char* defect = validationError(submission)) throw BadRequest(defect);
-    engine_.submit(std::move(submission), [client, requestIndex](const Reply& reply) {
-      client->answer(requestIndex, replyLine(reply));
-    });
+    engine_.submit(std::move(submission),
+                   [client, requestIndex](const Reply& reply) { client->answer(requestIndex, reply); });
     return "";
   } catch (const BadRequest& badRequest) {
     return std::string("-ERR ") + badRequest.what();
--- a/tests/misbehaving_clients_test.cpp
+++ b/tests/misbehaving_clients_test.cpp
@@ -145,6 +145,34 @@
   EXPECT_FALSE(client->closed);
 }
 
+// Three messages in a row for a destination without targets once ended the connection, with the valid
+// commands behind them unanswered.
+TEST_F(NetFixture, FailedMessagesLeaveTheCommandsBehindThemTheirAnswers) {
+  start();
+  std::string commands;
+  for (int i = 0; i < 8; ++i)
+    commands += FakeClient::command({"ENQUEUE", "0", "x" + std::to_string(i), "c=safe,d=8000,dest=99", "b"});
+  for (int i = 0; i < 3; ++i)
+    commands += FakeClient::command({"ENQUEUE", "0", "m" + std::to_string(i), "c=safe,d=8000,dest=7", "b"});
+  client->write(commands);
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(client->line(), "-ERR unknown destination") << i;
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(client->line(), "+OK") << i;
+  EXPECT_FALSE(client->closed);
+}
+
+// Messages for unknown destinations at full speed are answered in turns, as other requests that submit
+// nothing.
+TEST_F(NetFixture, AnswersAFloodOfFailedMessagesInTurns) {
+  start();
+  std::string flood;
+  for (int i = 0; i < 1'000; ++i)
+    flood += FakeClient::command({"ENQUEUE", "0", "x" + std::to_string(i), "c=safe,d=8000,dest=99", "b"});
+  const auto begun = std::chrono::steady_clock::now();
+  client->write(flood);
+  for (int i = 0; i < 1'000; ++i) ASSERT_EQ(client->line(), "-ERR unknown destination") << i;
+  EXPECT_GE(std::chrono::steady_clock::now() - begun, milliseconds(6));
+}
+
 // Answers to a client that does not read them do not pile up: its requests are left unread meanwhile.
 TEST_F(NetFixture, ReadsNoMoreFromAClientThatReadsNoAnswers) {
   start();
--- a/tests/resource_limits_test.cpp
+++ b/tests/resource_limits_test.cpp
@@ -155,5 +155,21 @@
   EXPECT_TRUE(until([&] { return target.requests.size() == 1 && owed() == 0; }));
 }
 
+// The last target of a destination leaves after the list was the same for longer than messages live: the
+// destination was once forgotten at that moment, and its messages failed.
+TEST_F(NetFixture, HoldsMessagesForADestinationWhoseTargetLeavesAfterALongRest) {
+  for (json& messageClass : config["settings"]["classes"]) messageClass["deadlineUs"] = 200'000;
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  const auto begun = std::chrono::steady_clock::now();
+  until([&] { return std::chrono::steady_clock::now() - begun > std::chrono::milliseconds(300); });
+  discovery.chunk(
+      json{{"rev", 42}, {"all", false}, {"targets", json::array({entry("t1", target.text(), "left")})}}
+          .dump());
+  pause(30);
+  client->enqueue("m1", "unsafe", 200);
+  EXPECT_EQ(client->line(), "+OK");
+}
+
 }  // namespace
 }  // namespace quilltide::net::fixtures
