Input limits: at most 100 header fields and trailers a message, however they arrive

Cause: the limit counts text, and a parsed field takes some 100 bytes for 4 of it; the parser's own limit held only for the part of a head that was not consumed, and not for trailers.

--- a/src/coordinator/http_server.cpp
+++ b/src/coordinator/http_server.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/bounded_input.hpp"
+#include "net/bounded_parser.hpp"
 #include "net/socket_writer.hpp"
 #include "process/listening_socket.hpp"
 
@@ -64,7 +65,7 @@
   }
 
   void read() {
-    parser_.emplace();
+    parser_.emplace(input_.limits());
     input_.startMessage();
     closeAfter(kIdleTimeout);
     input_.asyncReadMessage(*parser_, [self = shared_from_this()](error_code error, std::size_t) {
@@ -137,7 +138,7 @@
   net::SocketWriter writer_{socket_};
   net::BoundedInput input_{socket_, net::InputSource::coordinatorClient, net::kCoordinatorClientInput};
   clocks::Alarm alarm_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<net::RequestParser> parser_;
   http::response<http::string_body> response_;
   bool dropped_ = false;
 };
--- a/src/directory/discovery.cpp
+++ b/src/directory/discovery.cpp
@@ -6,6 +6,7 @@
 
 #include "directory/json_stream_splitter.hpp"
 #include "net/bounded_input.hpp"
+#include "net/bounded_parser.hpp"
 #include "net/socket_writer.hpp"
 
 namespace quilltide::net {
@@ -30,7 +31,7 @@
   clocks::Alarm activityAlarm;
   BoundedInput input{socket, InputSource::directory, kDirectoryInput};
   http::request<http::empty_body> request;
-  http::response_parser<http::string_body> parser;
+  ResponseParser parser{kDirectoryInput};
   JsonStreamSplitter splitter;
   std::size_t bytesSinceActivity = 0;
   bool updateReceived = false, closed = false;
--- a/src/directory/notice_sender.cpp
+++ b/src/directory/notice_sender.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "net/bounded_input.hpp"
+#include "net/bounded_parser.hpp"
 #include "net/socket_writer.hpp"
 
 namespace quilltide::net {
@@ -34,7 +35,7 @@
   SocketWriter writer{socket};
   BoundedInput input{socket, InputSource::noticeReceiver, kNoticeReceiverInput};
   http::request<http::string_body> request;
-  http::response_parser<http::string_body> parser;
+  ResponseParser parser{kNoticeReceiverInput};
 };
 
 NoticeSender::NoticeSender(asio::io_context& io, const tcp::endpoint& address,
--- a/src/fleet/link/json_call.cpp
+++ b/src/fleet/link/json_call.cpp
@@ -7,6 +7,7 @@
 
 #include "clock/alarm.hpp"
 #include "net/bounded_input.hpp"
+#include "net/bounded_parser.hpp"
 #include "net/socket_writer.hpp"
 
 namespace quilltide::fleet {
@@ -25,7 +26,7 @@
     net::SocketWriter writer{socket};
     net::BoundedInput input;
     http::request<http::string_body> request;
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<net::ResponseParser> parser;
   };
 
   Connection(boost::asio::io_context& io, const net::InputLimits& limits)
@@ -63,7 +64,7 @@
   }
 
   void read() {
-    link->parser.emplace();
+    link->parser.emplace(limits);
     link->input.startMessage();
     link->input.asyncReadMessage(*link->parser, [self = shared_from_this(), link = link,
                                                  callNumber = callNumber](error_code error, std::size_t) {
--- a/src/frontend/http/http_frontend.cpp
+++ b/src/frontend/http/http_frontend.cpp
@@ -15,6 +15,7 @@
 #include "frontend/http/api.hpp"
 #include "frontend/listener/lingering.hpp"
 #include "net/bounded_input.hpp"
+#include "net/bounded_parser.hpp"
 #include "net/socket_writer.hpp"
 
 namespace quilltide::net {
@@ -191,7 +192,7 @@
   void startNextRequest() {
     state_ = State::idle;
     memory_.release();
-    parser_.emplace();
+    parser_.emplace(input_.limits());
     error_code availableError;
     if (input_.buffer().size() > 0 ||
         (requestsWithoutMessage_ > 0 && socket_.available(availableError) > 0 && !availableError))
@@ -292,7 +293,8 @@
 
   // Accounts for the size of this request. May end this client.
   void accountRequest() {
-    memory_.setBytes(std::max(contentLength_, parser_->get().body().size()) + input_.buffer().size());
+    memory_.setBytes(std::max(contentLength_, parser_->get().body().size()) + parser_->headMemoryBytes() +
+                     input_.buffer().size());
   }
 
   void readBody() {
@@ -314,6 +316,10 @@
           {408, "request-timeout", "request timed out before it was complete", 0, nullptr});
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
       return respondAndClose({431, "head-too-large", "the request header is limited to 8 KiB", 0, nullptr});
+    if (error == InputError::tooManyFields)
+      return respondAndClose(
+          {431, "head-too-large",
+           "the request header is limited to " + std::to_string(kMaxHeadFields) + " fields", 0, nullptr});
     if (error == http::error::body_limit) return respondTooLarge();
     if (error.category() != http::make_error_code(http::error::need_more).category()) return close();
     respondAndClose({400, "bad-request", "malformed request: " + error.message(), 0, nullptr});
@@ -650,7 +656,7 @@
   clocks::Alarm alarm_;
   State state_ = State::idle;
   Clock::time_point lastActivity_ = Clock::now();
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<RequestParser> parser_;
   api::Target target_;
   api::RouteMatch match_{api::Operation::getState, ""};
   http::response<http::string_body> response_;
--- a/src/net/bounded_input.cpp
+++ b/src/net/bounded_input.cpp
@@ -18,9 +18,15 @@
  public:
   const char* name() const noexcept override { return "input"; }
   std::string message(int value) const override {
-    return value == static_cast<int>(InputError::bufferFull)
-               ? "more input than can be held without parsing it"
-               : "a message was not complete in its time";
+    switch (static_cast<InputError>(value)) {
+      case InputError::bufferFull:
+        return "more input than can be held without parsing it";
+      case InputError::messageOverdue:
+        return "a message was not complete in its time";
+      case InputError::tooManyFields:
+        break;
+    }
+    return "a message has too many header fields";
   }
 };
 
@@ -39,6 +45,8 @@
   switch (limit) {
     case InputLimit::headBytes:
       return limits.headBytes;
+    case InputLimit::headFields:
+      return limits.headFields;
     case InputLimit::bodyBytes:
       return limits.bodyBytes;
     case InputLimit::bufferedBytes:
@@ -66,8 +74,8 @@
 }
 
 const char* nameOf(InputLimit limit) {
-  constexpr std::array<const char*, kInputLimits> kNames = {"head_bytes", "body_bytes", "buffered_bytes",
-                                                            "bytes_per_turn", "message_ms"};
+  constexpr std::array<const char*, kInputLimits> kNames = {"head_bytes",     "head_fields",    "body_bytes",
+                                                            "buffered_bytes", "bytes_per_turn", "message_ms"};
   return kNames[static_cast<std::size_t>(limit)];
 }
 
@@ -150,6 +158,7 @@
 
 void BoundedInput::reportParserError(error_code error) {
   if (error == http::error::header_limit) report(InputLimit::headBytes);
+  if (error == InputError::tooManyFields) report(InputLimit::headFields);
   if (error == http::error::body_limit) report(InputLimit::bodyBytes);
   if (error == http::error::buffer_overflow) report(InputLimit::bufferedBytes);
 }
--- a/src/net/bounded_input.hpp
+++ b/src/net/bounded_input.hpp
@@ -24,8 +24,9 @@
 
 // Why a read failed that the peer's limits do not allow.
 enum class InputError {
-  bufferFull = 1,     // InputLimits::bufferedBytes are received and none could be parsed
-  messageOverdue = 2  // a message has begun and was not complete within InputLimits::messageTime
+  bufferFull = 1,      // InputLimits::bufferedBytes are received and none could be parsed
+  messageOverdue = 2,  // a message has begun and was not complete within InputLimits::messageTime
+  tooManyFields = 3    // a message has more than InputLimits::headFields
 };
 boost::system::error_code make_error_code(
     InputError error);  // NOLINT(readability-identifier-naming): Boost's
@@ -103,11 +104,10 @@
   void startTurn() { bytesThisTurn_ = 0; }
   InputBuffer& buffer() { return buffer_; }
 
-  // ---- Beast's operations on parsers, with the limits of this input ----
+  // ---- Beast's operations on a BoundedParser with the limits of this input ----
 
   template <typename Parser, typename Handler>
   void asyncReadHeader(Parser& parser, Handler handler) {
-    limitParser(parser);
     boost::beast::http::async_read_header(*this, buffer_, parser, reporting(std::move(handler)));
   }
   template <typename Parser, typename Handler>
@@ -116,14 +116,8 @@
   }
   template <typename Parser, typename Handler>
   void asyncReadMessage(Parser& parser, Handler handler) {
-    limitParser(parser);
     boost::beast::http::async_read(*this, buffer_, parser, reporting(std::move(handler)));
   }
-  template <typename Parser>
-  void limitParser(Parser& parser) const {
-    parser.header_limit(limits_.headBytes);
-    parser.body_limit(limits_.bodyBytes);
-  }
 
   const InputLimits& limits() const { return limits_; }
   // Logs and counts that the peer has met a limit.
--- a/src/upstream/http/call_response.cpp
+++ b/src/upstream/http/call_response.cpp
@@ -10,23 +10,11 @@
 namespace {
 
 constexpr std::size_t kMaxLoadMetrics = 16;
-constexpr std::size_t kFieldOverheadBytes = 4;  // a colon, a space and the end of the line
-
-// Bytes of the header fields that were parsed so far. The parser's own limit does not add up the parts of a
-// head that arrive one by one, each ending with a line.
-std::size_t parsedFieldBytes(const CallResponse::Parser& parser) {
-  std::size_t bytes = 0;
-  for (const auto& field : parser.get().base())
-    bytes += field.name_string().size() + field.value().size() + kFieldOverheadBytes;
-  return bytes;
-}
 
 }  // namespace
 
 void CallResponse::reset() {
-  parser_ = std::make_unique<Parser>();
-  parser_->body_limit(kTargetInput.bodyBytes);
-  parser_->header_limit(kTargetInput.headBytes);
+  parser_ = std::make_unique<ResponseParser>(kTargetInput);
   parser_->get().result(0U);  // Beast initializes the status to 200 before anything is read
 }
 
@@ -36,7 +24,7 @@
     boost::system::error_code error;
     const std::size_t count = parser_->put(buffer.data(), error);
     buffer.consume(count);
-    if (!parser_->is_header_done() && parsedFieldBytes(*parser_) + buffer.size() > kTargetInput.headBytes)
+    if (!parser_->is_header_done() && parser_->headBytes() + buffer.size() > kTargetInput.headBytes)
       error = boost::beast::http::error::header_limit;
     if (error == boost::beast::http::error::need_more) return Progress::incomplete;
     if (error) {
--- a/src/upstream/http/call_response.hpp
+++ b/src/upstream/http/call_response.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "net/bounded_input.hpp"
+#include "net/bounded_parser.hpp"
 #include "quilltide/sender.hpp"
 
 namespace quilltide::net {
@@ -24,15 +25,13 @@
 // Incremental parser of one response and any interim responses before it.
 class CallResponse {
  public:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   enum class Progress { incomplete, complete, malformed };
 
   CallResponse() { reset(); }
   // Discards what was parsed and prepares for the next response.
   void reset();
-  Parser& parser() { return *parser_; }
-  const Parser& parser() const { return *parser_; }
+  ResponseParser& parser() { return *parser_; }
+  const ResponseParser& parser() const { return *parser_; }
   // Parses what the input's buffer holds, up to the end of this response, and consumes it.
   Progress parse(BoundedInput& input);
 
@@ -60,7 +59,7 @@
   std::optional<MessageResult> commonResult() const;
   // Results by message id, from the body of a 200 response; none if a line is malformed.
   std::optional<std::map<std::string, MessageResult>> resultsById() const;
-  std::unique_ptr<Parser> parser_;
+  std::unique_ptr<ResponseParser> parser_;
 };
 
 }  // namespace quilltide::net
--- a/tests/input_limits_test.cpp
+++ b/tests/input_limits_test.cpp
@@ -57,12 +57,6 @@
   void sendEndless(Link& link, const std::string& head, const EndlessBody& body) {
     writers.push_back(std::make_unique<EndlessWriter>(link, head + body.prefix, body.unit));
   }
-  std::size_t residentBytes() const {
-    std::ifstream file("/proc/" + std::to_string(program) + "/statm");
-    std::size_t total = 0, resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
-  }
   // Runs for kEndlessTime with a PING every 10 ms, and checks the memory and the time of each answer.
   void expectBounded(const char* what) {
     std::size_t highest = 0;
@@ -197,6 +191,53 @@
   }
 }
 
+// Reads one message of `text` in parts of `partBytes`, and returns how the parser ended.
+template <typename Parser>
+error_code parseInParts(Parser& parser, const std::string& text, std::size_t partBytes) {
+  error_code error;
+  boost::beast::flat_buffer buffer;
+  for (std::size_t at = 0; at < text.size() && (!error || error == http::error::need_more); at += partBytes) {
+    const std::string part = text.substr(at, partBytes);
+    buffer.commit(asio::buffer_copy(buffer.prepare(part.size()), asio::buffer(part)));
+    do {
+      buffer.consume(parser.put(buffer.data(), error));
+    } while (!error && !parser.is_done() && buffer.size() > 0);
+  }
+  return error;
+}
+
+std::string fields(std::size_t count, const std::string& line) {
+  std::string all;
+  for (std::size_t i = 0; i < count; ++i) all += line + "\r\n";
+  return all;
+}
+
+// Guards against heads of very many short fields, each of which takes many times the memory of its text.
+TEST(BoundedParser, HeadsOfTooManyFieldsFailHoweverTheyArrive) {
+  for (const std::size_t partBytes : {1U, 7U, 4'096U}) {
+    ResponseParser allowed(kTargetInput), tooMany(kTargetInput);
+    const std::string status = "HTTP/1.1 204 X\r\n";
+    EXPECT_FALSE(parseInParts(allowed, status + fields(kMaxHeadFields, "a:") + "\r\n", partBytes));
+    EXPECT_EQ(parseInParts(tooMany, status + fields(kMaxHeadFields + 1, "a:") + "\r\n", partBytes),
+              InputError::tooManyFields);
+    RequestParser request(kHttpClientInput);
+    EXPECT_EQ(parseInParts(request, "GET / HTTP/1.1\r\n" + fields(1'900, "a:") + "\r\n", partBytes),
+              InputError::tooManyFields);
+  }
+}
+
+// Guards against the same behind a body, and against fields whose text adds up to more than a head may have.
+TEST(BoundedParser, TrailersAndLongFieldsCountToo) {
+  const std::string chunked = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  ResponseParser allowed(kTargetInput), tooMany(kTargetInput), tooLong(kTargetInput);
+  EXPECT_FALSE(parseInParts(allowed, chunked + fields(kMaxHeadFields - 1, "a:") + "\r\n", 4'096));
+  EXPECT_EQ(parseInParts(tooMany, chunked + fields(kMaxHeadFields, "a:") + "\r\n", 4'096),
+            InputError::tooManyFields);
+  const std::string line = "X-A: " + std::string(995, 'v');
+  EXPECT_EQ(parseInParts(tooLong, "HTTP/1.1 200 X\r\n" + fields(20, line), line.size() + 2),
+            http::error::header_limit);
+}
+
 // Guards against a response on a connection without a call that is never complete, and holds the connection.
 TEST_F(InputLimitsTest, AnIncompleteSecondResponseEndsItsConnectionInTime) {
   target.handler = [](Link& link) { link.write(FakeServer::answer(200)); };
--- a/tests/net_fixture.hpp
+++ b/tests/net_fixture.hpp
@@ -314,6 +314,13 @@
     ::waitpid(program, &status, 0);
   }
 
+  // Memory of the program.
+  std::size_t residentBytes() const {
+    std::ifstream file("/proc/" + std::to_string(program) + "/statm");
+    std::size_t total = 0, resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+  }
   void pause(int ms) {
     loops.until([] { return false; }, std::chrono::milliseconds(ms));
   }
