Frontends: messages of clients that had left before they were read are rejected

Cause: an end of file is read behind the requests before it. AnswersAClientThatEndedItsSending asked for +OK where the end lies before the reading, which is the fault; it asks now for the rejection, for no call, and for the acceptance of the repeat. A client that ends its sending after its request was read has a test of its own with +OK.

--- a/src/engine/message.cpp
+++ b/src/engine/message.cpp
@@ -33,6 +33,8 @@
       return "the destination accepts no more messages for now";
     case Reply::Reason::noCapacity:
       return "no room for another message";
+    case Reply::Reason::clientClosed:
+      return "the connection was closed before the message was read";
     case Reply::Reason::unknownDestination:
       return "unknown destination";
     case Reply::Reason::deliveryFailed:
--- a/src/engine/message.hpp
+++ b/src/engine/message.hpp
@@ -38,6 +38,7 @@
     none,
     destinationBusy,     // with `rejected`: retry later
     noCapacity,          // with `rejected`: this forwarder has no capacity for any destination
+    clientClosed,        // with `rejected`: its client had closed the connection before it was read
     unknownDestination,  // with `failed`
     deliveryFailed,      // with `failed`: rejected by the decision module
     mayBeDelivered,      // with `failed`: not known whether it was accepted; it may be delivered
--- a/src/frontend/http/api.cpp
+++ b/src/frontend/http/api.cpp
@@ -342,6 +342,8 @@
       if (reply.reason == Reply::Reason::destinationBusy)
         return Problem{429, "destination-busy", reasonDetail,
                        reply.retryAfter > 0 ? reply.retryAfter : defaultRetryUs, nullptr};
+      if (reply.reason == Reply::Reason::clientClosed)
+        return Problem{503, "client-closed", reasonDetail, defaultRetryUs, nullptr};
       return Problem{503, "no-room", reasonDetail, reply.retryAfter > 0 ? reply.retryAfter : defaultRetryUs,
                      nullptr};
     case Reply::Kind::conflict:
--- a/src/frontend/http/http_frontend.cpp
+++ b/src/frontend/http/http_frontend.cpp
@@ -361,10 +361,11 @@
       return respond(api::Problem{400, "bad-request", defect, 0, nullptr});
     state_ = State::submitting;
     const std::string id = message.id;
-    frontend_->engine_.submit(std::move(message), [this, self = shared_from_this(), id](const Reply& reply) {
-      if (closed_ || frontend_ == nullptr) return;
-      respond(responseFor(reply, id));
-    });
+    frontend_->admission_.submit(input_, std::move(message),
+                                 [this, self = shared_from_this(), id](const Reply& reply) {
+                                   if (closed_ || frontend_ == nullptr) return;
+                                   respond(responseFor(reply, id));
+                                 });
   }
 
   std::variant<api::Success, api::Problem> responseFor(const Reply& reply, const std::string& id) const {
@@ -407,12 +408,12 @@
       auto& message = std::get<Submission>(parsed);
       const std::string id = message.id;
       ++batch->outstanding;
-      frontend_->engine_.submit(std::move(message),
-                                [this, self = shared_from_this(), batch, i, id](const Reply& reply) {
-                                  if (closed_ || frontend_ == nullptr) return;
-                                  batch->results[i] = batchLine(responseFor(reply, id), id);
-                                  if (--batch->outstanding == 0) respondBatch(*batch);
-                                });
+      frontend_->admission_.submit(input_, std::move(message),
+                                   [this, self = shared_from_this(), batch, i, id](const Reply& reply) {
+                                     if (closed_ || frontend_ == nullptr) return;
+                                     batch->results[i] = batchLine(responseFor(reply, id), id);
+                                     if (--batch->outstanding == 0) respondBatch(*batch);
+                                   });
     }
     if (--batch->outstanding == 0) respondBatch(*batch);
   }
@@ -679,6 +680,7 @@
       maxRejectedClients_(std::max<std::size_t>(1, limits.connections / 16)),
       maxWaitingClients_(std::max<std::size_t>(1, limits.connections - limits.connections / 4)),
       engine_(engine),
+      admission_(engine),
       clientMemory_("http", limits.requestBytes),
       listener_(io, "http",
                 {[this] { return rejectedClients_ < maxRejectedClients_; },
--- a/src/frontend/http/http_frontend.hpp
+++ b/src/frontend/http/http_frontend.hpp
@@ -13,6 +13,7 @@
 #include "config/budget.hpp"
 #include "config/service_config.hpp"
 #include "engine/engine.hpp"
+#include "frontend/admission.hpp"
 #include "frontend/listener/client_memory.hpp"
 #include "frontend/listener/clients.hpp"
 #include "frontend/listener/listener.hpp"
@@ -58,6 +59,7 @@
   FrontendLimits limits_;
   std::size_t maxRejectedClients_, maxWaitingClients_;
   Engine& engine_;
+  Admission admission_;
   ClientMemory clientMemory_;
   Clients<Client> clients_;
   Listener listener_;
--- a/src/frontend/resp/resp_frontend.cpp
+++ b/src/frontend/resp/resp_frontend.cpp
@@ -142,6 +142,8 @@
     return true;
   }
 
+  const BoundedInput& input() const { return input_; }
+
   void close() {
     if (closed_) return;
     closed_ = true;
@@ -373,6 +375,7 @@
       endpoint_(config.listen),
       limits_(limits),
       engine_(engine),
+      admission_(engine),
       clientMemory_("resp", limits.requestBytes),
       listener_(io, "resp",
                 {[this] { return clients_.size() < limits_.connections || evictLeastRecentlyUsed(clients_); },
@@ -444,8 +447,8 @@
     if (!destination) throw BadRequest("dest is missing");
     submission.destination = *destination;
     if (const char* defect = validationError(submission)) throw BadRequest(defect);
-    engine_.submit(std::move(submission),
-                   [client, requestIndex](const Reply& reply) { client->answer(requestIndex, reply); });
+    admission_.submit(client->input(), std::move(submission),
+                      [client, requestIndex](const Reply& reply) { client->answer(requestIndex, reply); });
     return "";
   } catch (const BadRequest& badRequest) {
     return std::string("-ERR ") + badRequest.what();
--- a/src/frontend/resp/resp_frontend.hpp
+++ b/src/frontend/resp/resp_frontend.hpp
@@ -13,6 +13,7 @@
 #include "config/budget.hpp"
 #include "config/platform.hpp"
 #include "engine/engine.hpp"
+#include "frontend/admission.hpp"
 #include "frontend/listener/client_memory.hpp"
 #include "frontend/listener/clients.hpp"
 #include "frontend/listener/listener.hpp"
@@ -47,6 +48,7 @@
   tcp::endpoint endpoint_;
   FrontendLimits limits_;
   Engine& engine_;
+  Admission admission_;
   ClientMemory clientMemory_;
   Clients<Client> clients_;
   Listener listener_;
--- a/src/net/bounded_input.cpp
+++ b/src/net/bounded_input.cpp
@@ -1,5 +1,7 @@
 #include "net/bounded_input.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -143,6 +145,12 @@
   return std::exchange(overdue_, false) ? reportOverdue() : error;
 }
 
+// POLLHUP alone is not asked for: it also stands for a socket that was never connected.
+bool BoundedInput::peerHasClosed() const {
+  pollfd state{socket_.native_handle(), POLLRDHUP, 0};
+  return ::poll(&state, 1, 0) > 0 && (state.revents & POLLRDHUP) != 0;
+}
+
 error_code BoundedInput::reportOverdue() {
   report(InputLimit::messageTime);
   return InputError::messageOverdue;
--- a/src/net/bounded_input.hpp
+++ b/src/net/bounded_input.hpp
@@ -119,6 +119,9 @@
     boost::beast::http::async_read(*this, buffer_, parser, reporting(std::move(handler)));
   }
 
+  // Whether the peer has ended its sending or reset the connection, also if there is input that was not read
+  // yet: what is read from now on was sent by a peer that may have gone.
+  bool peerHasClosed() const;
   const InputLimits& limits() const { return limits_; }
   // Logs and counts that the peer has met a limit.
   void report(InputLimit limit);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -100,11 +100,27 @@
   EXPECT_TRUE(until([&] { return client->closed; }));
 }
 
-// A client that ends its sending after a request still hears what became of it.
+// A client that has ended its sending before its request is read cannot be told from one that has gone and
+// submits the message anew. It still hears what became of it: a rejection, so that a retry does no harm.
 TEST_F(NetFixture, AnswersAClientThatEndedItsSending) {
   start();
   client->enqueue("m1", "safe");
   client->finish();
+  EXPECT_EQ(client->line(), "-BUSY");
+  EXPECT_TRUE(until([&] { return client->closed; }));
+  FakeClient again(loops, forwarder->address());
+  again.enqueue("m2", "safe");
+  EXPECT_EQ(again.line(), "+OK");
+  EXPECT_TRUE(until([&] { return target.requests.size() == 1 && owed() == 0; }));
+  EXPECT_EQ(target.requests.front()["X-Request-Id"], "m2");
+}
+
+// A client that ends its sending after its request was read hears that it was accepted.
+TEST_F(NetFixture, AnswersAClientThatEndsItsSendingAfterItsRequestWasRead) {
+  start();
+  client->enqueue("m1", "safe");
+  ASSERT_TRUE(until([&] { return forwarder->engine().status("m1").state != MessageStatus::State::unknown; }));
+  client->finish();
   EXPECT_EQ(client->line(), "+OK");
 }
 
