Upstream: a call is not sent to the old address of a target that has moved

Cause: the address was not compared with the list again. It is now, and the message never ran. A target that was started anew (boot_ms), or serves another destination, loses its idle connections, on which a call would end with an unknown outcome.

--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -145,6 +145,9 @@
       update.unknownNames.insert("zone '" + zone + "'");
     if (entry.availability != Availability::removed || item.contains("endpoint"))
       update.addresses[entry.target] = parseAddress(item.at("endpoint").get<std::string>());
+    const auto startTime = item.find("boot_ms");
+    const bool hasStartTime = startTime != item.end() && startTime->is_number();
+    update.startTimes[entry.target] = hasStartTime ? startTime->get<std::int64_t>() : 0;
     update.view.entries.push_back(std::move(entry));
   }
   return update;
--- a/src/config/platform.hpp
+++ b/src/config/platform.hpp
@@ -32,6 +32,7 @@
   std::int64_t revision = 0;
   DirectoryView view;
   std::map<TargetId, tcp::endpoint> addresses;
+  std::map<TargetId, std::int64_t> startTimes;  // when each target last started, Unix time in ms; 0: long ago
   std::set<std::string> unknownNames;  // kinds and zones that the settings do not name, as text for the log
 };
 // Parses "127.0.0.1:8080". Throws std::runtime_error with a one-line message if the text is not an IP
--- a/src/directory/discovery.cpp
+++ b/src/directory/discovery.cpp
@@ -164,7 +164,10 @@
 }
 
 DirectoryUpdate Discovery::unchangedDirectory() const {
-  return DirectoryUpdate{revision_, {ViewScope::changes, {}}, {}, {}};
+  DirectoryUpdate update;
+  update.revision = revision_;
+  update.view.scope = ViewScope::changes;
+  return update;
 }
 
 void Discovery::processUpdates(const std::shared_ptr<Watch>& watchState) {
--- a/src/upstream/http/http_upstream_client.cpp
+++ b/src/upstream/http/http_upstream_client.cpp
@@ -117,6 +117,8 @@
   // Runs when the connection is established. Requests that were reported meanwhile or are no longer
   // authorized are left out; the body is built from the rest.
   void sendRequest() {
+    // Whoever is at the address now may serve another destination.
+    if (client_.hasMoved(target_, connection_->peer)) return skipUnreported();
     std::vector<std::size_t> pendingIndexes;
     std::vector<const UpstreamRequest*> requests;
     for (std::size_t i = 0; i < requests_.size(); ++i) {
@@ -513,7 +515,7 @@
       continue;
     }
     removed.erase(entry.target);
-    targets_[entry.target] = {directory.addresses.at(entry.target), entry.kind, entry.destination};
+    updateTarget(entry, directory);
   }
   for (const TargetId& target : removed) {
     closeIdle(target);
@@ -521,6 +523,24 @@
   }
 }
 
+// Idle connections to a process that another one has replaced bring no calls to the new one.
+void HttpUpstreamClient::updateTarget(const TargetEntry& entry, const DirectoryUpdate& directory) {
+  const KnownTarget target{directory.addresses.at(entry.target), entry.kind, entry.destination,
+                           directory.startTimes.at(entry.target)};
+  const auto [known, isNew] = targets_.try_emplace(entry.target, target);
+  if (isNew) return;
+  const bool sameProcess = known->second.address == target.address &&
+                           known->second.destination == target.destination &&
+                           known->second.startTimeMs == target.startTimeMs;
+  known->second = target;
+  if (!sameProcess) closeIdle(entry.target);
+}
+
+bool HttpUpstreamClient::hasMoved(const TargetId& target, const tcp::endpoint& address) const {
+  const auto found = targets_.find(target);
+  return found != targets_.end() && found->second.address != address;
+}
+
 std::set<std::int64_t> HttpUpstreamClient::destinations() const {
   std::set<std::int64_t> ids;
   for (const auto& [target, knownTarget] : targets_) ids.insert(knownTarget.destination);
--- a/src/upstream/http/http_upstream_client.hpp
+++ b/src/upstream/http/http_upstream_client.hpp
@@ -59,10 +59,14 @@
     tcp::endpoint address;
     int kind = 0;
     std::int64_t destination = 0;
+    std::int64_t startTimeMs = 0;  // Unix time; 0: long ago
   };
   class Exchange;
   friend class Exchange;
 
+  void updateTarget(const TargetEntry& entry, const DirectoryUpdate& directory);
+  // Whether the target is listed at another address.
+  bool hasMoved(const TargetId& target, const tcp::endpoint& address) const;
   void removeExchange(const std::shared_ptr<Exchange>& exchange);
   // Reports the outcome from the event loop, after the current handler has returned.
   void postOutcome(Outcome outcome);
--- a/tests/race_conditions_test.cpp
+++ b/tests/race_conditions_test.cpp
@@ -358,6 +358,63 @@
   }
 }
 
+// ---- Another process at a target's address ----
+
+json listed(int rev, const std::vector<json>& entries) {
+  return {{"rev", rev}, {"all", false}, {"targets", entries}};
+}
+
+// A call for a target that moves while its connection comes up was once written to whoever is at the old
+// address.
+TEST_F(NetFixture, ACallWhoseTargetMovesMeanwhileIsNotSentToTheOldAddress) {
+  LateTarget old(io);
+  config["known"]["targets"] = json::array({entry("t1", old.text())});
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  client->enqueue("m1", "unsafe");
+  ASSERT_EQ(client->line(), "+OK");
+  pause(50);
+  discovery.chunk(listed(42, {entry("t1", target.text())}).dump());
+  pause(50);
+  old.open();
+  EXPECT_TRUE(until([&] { return old.connections == 2 && target.requests.size() == 1 && owed() == 0; }));
+  EXPECT_EQ(old.bytes, 0U);
+}
+
+// A call for a target that has left, at whose address another one serves another destination.
+TEST_F(NetFixture, ACallWhoseTargetIsReplacedMeanwhileIsNotSent) {
+  LateTarget replaced(io);
+  config["known"]["targets"] = json::array({entry("t1", replaced.text())});
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  client->enqueue("m1", "unsafe");
+  ASSERT_EQ(client->line(), "+OK");
+  pause(50);
+  discovery.chunk(listed(42, {entry("t1", replaced.text(), "left"), entry("t2", replaced.text(), "active", 8),
+                              entry("t3", target.text())})
+                      .dump());
+  pause(50);
+  replaced.open();
+  EXPECT_TRUE(until([&] { return replaced.connections == 2 && target.requests.size() == 1 && owed() == 0; }));
+  EXPECT_EQ(replaced.bytes, 0U);
+}
+
+// A target that was started anew has none of its predecessor's connections: a call on one of them would end
+// with an unknown outcome.
+TEST_F(NetFixture, ConnectionsToAProcessThatWasReplacedAreNotUsed) {
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  client->enqueue("m1", "unsafe");
+  ASSERT_TRUE(until([&] { return forwarder->upstream().reusableConnections("t1") == 1; }));
+  json restarted = entry("t1", target.text());
+  restarted["boot_ms"] = 1'700'000'000'000;
+  discovery.chunk(listed(42, {restarted}).dump());
+  ASSERT_TRUE(until([&] { return forwarder->upstream().idleConnections("t1") == 0; }));
+  client->enqueue("m2", "unsafe");
+  EXPECT_TRUE(until([&] { return target.requests.size() == 2 && owed() == 0; }));
+  EXPECT_EQ(target.links.size(), 2U);
+}
+
 // ---- Alarms ----
 
 // Two that have expired together: the first sets the second anew, whose handler is queued by then and must
