--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -220,8 +220,10 @@
     const Endpoint& endpoint = endpointIt->second;
     const Micros notBefore =
         (hasOwnCircuit(endpoint) ? endpoint.circuit : endpoint.parent->circuit).retryAfterUntil;
-    return now >= notBefore && now < messageIt->second.expiresAt &&
-           endpoint.entry.availability == Availability::inService && mayRetry(messageIt->second, now);
+    // The target may serve another destination since the call was decided.
+    return endpoint.entry.destination == messageIt->second.destination && now >= notBefore &&
+           now < messageIt->second.expiresAt && endpoint.entry.availability == Availability::inService &&
+           mayRetry(messageIt->second, now);
   }
 
  private:
@@ -1078,7 +1080,13 @@
     endpointIt->second.inFlight -= 1;
     endpointIt->second.lastUsedAt = now_;
     idleConnectionsOf(endpointIt->second).lastUses.emplace_back(now_, call.target);
-    for (Circuit* circuit : circuitsOf(endpointIt->second)) {
+    // The target may serve another destination since then.
+    const bool sameDestination = endpointIt->second.entry.destination == call.destination;
+    std::vector<Circuit*> circuits = circuitsOf(endpointIt->second);
+    if (!sameDestination && destinationIt != destinations_.end())
+      std::replace(circuits.begin(), circuits.end(), &endpointIt->second.parent->circuit,
+                   &destinationIt->second.circuit);
+    for (Circuit* circuit : circuits) {
       circuit->inFlight -= 1;
       if (call.hung) circuit->hungCalls -= 1;
       if (call.probe && !call.overdue && circuit->probesInFlight > 0) circuit->probesInFlight -= 1;
--- a/tests/race_conditions_test.cpp
+++ b/tests/race_conditions_test.cpp
@@ -381,6 +381,22 @@
   EXPECT_EQ(old.bytes, 0U);
 }
 
+// A call for a target that serves another destination when its connection is up.
+TEST_F(NetFixture, ACallWhoseTargetChangesItsDestinationMeanwhileIsNotSent) {
+  LateTarget changed(io);
+  config["known"]["targets"] = json::array({entry("t1", changed.text())});
+  start();
+  ASSERT_TRUE(until([&] { return discovery.watches.size() == 1; }));
+  client->enqueue("m1", "unsafe");
+  ASSERT_EQ(client->line(), "+OK");
+  pause(50);
+  discovery.chunk(listed(42, {entry("t1", changed.text(), "active", 8), entry("t2", target.text())}).dump());
+  pause(50);
+  changed.open();
+  EXPECT_TRUE(until([&] { return changed.connections == 2 && target.requests.size() == 1 && owed() == 0; }));
+  EXPECT_EQ(changed.bytes, 0U);
+}
+
 // A call for a target that has left, at whose address another one serves another destination.
 TEST_F(NetFixture, ACallWhoseTargetIsReplacedMeanwhileIsNotSent) {
   LateTarget replaced(io);
