Build: mutated sources are not generated again while they are compiled

The target that writes them first was not enough: mutate.py kept the times of the sources, so the copies were older than the list of mutants, and each build generated and compiled them anew, also within the target that compiles them. Seen: each run of the script compiled the mutants again. The copies get new times; a second build now compiles nothing.

--- a/verification/mutate.py
+++ b/verification/mutate.py
@@ -16,7 +16,9 @@
     mutant_list, sources, output, folders = sys.argv[1], *map(pathlib.Path, sys.argv[2:4]), sys.argv[4:]
     mutants = tomllib.loads(pathlib.Path(mutant_list).read_text())["mutant"]
     for folder in folders:
-        shutil.copytree(sources / folder, output / folder, dirs_exist_ok=True)
+        # With new times: with those of the sources the build would take the copies for outdated, and copy again
+        # while they are compiled.
+        shutil.copytree(sources / folder, output / folder, copy_function=shutil.copyfile, dirs_exist_ok=True)
     for number, mutant in enumerate(mutants, 1):
         path = output / mutant["file"]
         text = path.read_text()
