--- a/src/app/fleet_membership.cpp
+++ b/src/app/fleet_membership.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr auto kScanInterval = std::chrono::milliseconds(1'000);  // of the member that coordinates takeovers
-constexpr auto kTakenOverPollInterval =
-    std::chrono::milliseconds(2);  // of the event loops of taken-over folders
 constexpr auto kCloseTimeout = std::chrono::milliseconds(1'000);
 
 std::string registration(const std::string& config, const std::string& state) {
@@ -23,26 +21,10 @@
 
 }  // namespace
 
-// Delivers the messages of a folder that was taken over: a forwarder without frontends, on its own
-// io_context.
-struct FleetMembership::TakenOverFolder {
-  TakenOverFolder(const PlatformConfig& config, const std::string& folder, std::uint64_t epoch)
-      : stateFolder(folder),
-        io(std::make_unique<boost::asio::io_context>(1)),
-        forwarder(std::make_unique<Forwarder>(*io, config, ServiceConfig{},
-                                              std::make_unique<Ownership>(folder, epoch))) {}
-  ~TakenOverFolder() { forwarder.reset(); }
-  const std::string stateFolder;
-  std::unique_ptr<boost::asio::io_context> io;
-  std::unique_ptr<Forwarder> forwarder;
-  std::unique_ptr<clocks::Alarm> pollAlarm;
-  bool fenced = false;
-};
-
-FleetMembership::FleetMembership(boost::asio::io_context& io, const FleetSettings& settings, std::string name,
-                                 std::string configFile, std::string stateFolder,
-                                 std::function<void(std::uint64_t)> onFolderAcquired)
-    : io_(io),
+FleetMembership::FleetMembership(boost::asio::io_context& io, FolderHost& folders,
+                                 const FleetSettings& settings, std::string name, std::string configFile,
+                                 std::string stateFolder, std::function<void(std::uint64_t)> onFolderAcquired)
+    : folders_(folders),
       settings_(settings),
       name_(std::move(name)),
       configFile_(std::move(configFile)),
@@ -65,8 +47,6 @@
       takeover_({name_, settings.takeOverAfterMs * 1'000, settings.maxConcurrentTakeovers}),
       scanAlarm_(io) {}
 
-FleetMembership::~FleetMembership() { *alive_ = false; }
-
 void FleetMembership::start() {
   std::cerr << "fleet: waiting for the lease of the state folder, " << fleet::folderLeaseName(name_)
             << std::endl;
@@ -98,7 +78,7 @@
   const std::string prefix = fleet::folderLeaseName("");
   if (!e.lease.starts_with(prefix)) return;
   const std::string name = e.lease.substr(prefix.size());
-  if (takenOverFolders_.contains(name)) return renewTakeover(name, e.token);
+  if (folders_.hasTakenOver(name)) return folders_.renewTakenOver(name, e.token);
   startTakeover(name, e.token);
 }
 
@@ -146,7 +126,7 @@
   }
   // A forwarder that came back in the meantime keeps its folder: withdraw the request for its lease.
   for (const std::string& name : std::set<std::string>(takeover_.takingOver())) {
-    if (!held.contains(name) || takenOverFolders_.contains(name)) continue;
+    if (!held.contains(name) || folders_.hasTakenOver(name)) continue;
     session_.release(fleet::folderLeaseName(name));
     takeover_.finishTakeover(name);
   }
@@ -156,54 +136,38 @@
   }
 }
 
+// The registration names the member's configuration, whose settings are those of its messages.
 void FleetMembership::startTakeover(const std::string& name, std::uint64_t epoch) {
   if (!takeover_.takingOver().contains(name)) return;
+  std::string configFile;
   try {
     const json registrationJson = json::parse(registrations_.at(name));
+    configFile = registrationJson.at("config").get<std::string>();
     const std::string state = registrationJson.at("state").get<std::string>();
-    const PlatformConfig config = readPlatformConfig(registrationJson.at("config").get<std::string>(), state);
-    auto folder = std::make_unique<TakenOverFolder>(config, state, epoch);
-    folder->forwarder->engine().onFenced([takenOver = folder.get()] { takenOver->fenced = true; });
-    folder->pollAlarm = std::make_unique<clocks::Alarm>(io_);
+    const PlatformConfig config = readPlatformConfig(configFile, state);
+    auto ownership = std::make_unique<Ownership>(state, epoch);
     std::cerr << "fleet: takes over " << name << " by epoch " << epoch << std::endl;
-    folder->forwarder->startWithoutFrontends();
-    takenOverFolders_[name] = std::move(folder);
-    runTakenOver(name);
+    folders_.takeOver(
+        name, config, std::move(ownership),
+        [this](const std::string& member, FolderHost::TakeoverEnd end) { handleTakeoverEnd(member, end); });
   } catch (const std::exception& problem) {
-    std::cerr << "fleet: cannot take over " << name << ": " << problem.what() << std::endl;
+    std::cerr << "fleet: cannot take over " << name << ", configuration '" << configFile
+              << "': " << problem.what() << std::endl;
     finishTakeover(name, false);
   }
 }
 
-// The lease of a folder that is being played was lost and granted again.
-void FleetMembership::renewTakeover(const std::string& name, std::uint64_t epoch) {
-  TakenOverFolder& folder = *takenOverFolders_.at(name);
-  std::cerr << "fleet: continues with the folder of " << name << " by epoch " << epoch << std::endl;
-  try {
-    folder.forwarder->engine().renewOwnership(std::make_unique<Ownership>(folder.stateFolder, epoch));
-  } catch (const std::exception& problem) {
-    std::cerr << "fleet: cannot continue with the folder of " << name << ": " << problem.what() << std::endl;
-    folder.fenced = true;
-  }
-}
-
-void FleetMembership::runTakenOver(const std::string& name) {
-  TakenOverFolder& folder = *takenOverFolders_.at(name);
-  folder.io->restart();
-  folder.io->poll();
-  if (folder.fenced) {
-    std::cerr << "fleet: another member has claimed the folder of " << name << std::endl;
-    return finishTakeover(name, false);
-  }
-  if (folder.forwarder->engine().messageJournal().hasNoPendingMessages()) {
+void FleetMembership::handleTakeoverEnd(const std::string& name, FolderHost::TakeoverEnd end) {
+  const bool completed = end == FolderHost::TakeoverEnd::completed;
+  if (completed) {
     std::cerr << "fleet: all messages of " << name << " have ended" << std::endl;
-    return finishTakeover(name, true);
+  } else {
+    std::cerr << "fleet: another member has claimed the folder of " << name << std::endl;
   }
-  folder.pollAlarm->armAfter(kTakenOverPollInterval, [this, name] { runTakenOver(name); });
+  finishTakeover(name, completed);
 }
 
 void FleetMembership::finishTakeover(const std::string& name, bool succeeded) {
-  takenOverFolders_.erase(name);
   const std::string lease = fleet::folderLeaseName(name);
   const auto releaseLease = [this, name, lease] {
     session_.release(lease);
@@ -219,7 +183,7 @@
 void FleetMembership::close(bool folderEmpty, std::function<void()> closed) {
   closing_ = true;
   scanAlarm_.disarm();
-  takenOverFolders_.clear();
+  folders_.stopTakenOver();
   const auto closeSession = [this, closed = std::move(closed), ended = std::make_shared<bool>(false)] {
     if (!std::exchange(*ended, true)) session_.close(kCloseTimeout, closed);
   };
--- a/src/app/fleet_membership.hpp
+++ b/src/app/fleet_membership.hpp
@@ -9,10 +9,9 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 
-#include "app/forwarder.hpp"
+#include "app/folder_host.hpp"
 #include "clock/alarm.hpp"
 #include "fleet/session_client/session_client.hpp"
 #include "fleet/takeover/takeover.hpp"
@@ -23,10 +22,9 @@
  public:
   // `onFolderAcquired` is called each time the lease of the folder is granted, with its fencing token as the
   // epoch: once at the start, and again after the lease was lost.
-  FleetMembership(boost::asio::io_context& io, const FleetSettings& settings, std::string name,
-                  std::string configFile, std::string stateFolder,
+  FleetMembership(boost::asio::io_context& io, FolderHost& folders, const FleetSettings& settings,
+                  std::string name, std::string configFile, std::string stateFolder,
                   std::function<void(std::uint64_t epoch)> onFolderAcquired);
-  ~FleetMembership();
   FleetMembership(const FleetMembership&) = delete;
   FleetMembership& operator=(const FleetMembership&) = delete;
 
@@ -36,18 +34,16 @@
   void close(bool folderEmpty, std::function<void()> closed);
 
  private:
-  struct TakenOverFolder;
   void handleLeaseEvent(const fleet::LeaseClient::Event& event);
   void scheduleScan();
   void scanFolders();
   void claimOrphanedFolders(const nlohmann::json& values, const nlohmann::json& leases);
   void handleOwnFolderAcquired(const std::string& lease, std::uint64_t epoch);
   void startTakeover(const std::string& name, std::uint64_t epoch);
-  void renewTakeover(const std::string& name, std::uint64_t epoch);
-  void runTakenOver(const std::string& name);
+  void handleTakeoverEnd(const std::string& name, FolderHost::TakeoverEnd end);
   void finishTakeover(const std::string& name, bool succeeded);
 
-  boost::asio::io_context& io_;
+  FolderHost& folders_;
   FleetSettings settings_;
   std::string name_, configFile_, stateFolder_;
   std::function<void(std::uint64_t)> onFolderAcquired_;
@@ -57,8 +53,6 @@
   clocks::Alarm scanAlarm_;
   bool coordinatesTakeovers_ = false, closing_ = false;
   std::map<std::string, std::string> registrations_;  // folder registrations by forwarder name, as last read
-  std::map<std::string, std::unique_ptr<TakenOverFolder>> takenOverFolders_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace quilltide::net
--- a/src/app/forwarder.hpp
+++ b/src/app/forwarder.hpp
@@ -35,6 +35,7 @@
   tcp::endpoint address() const { return resp_.address(); }
   tcp::endpoint httpAddress() const { return http_->address(); }  // only if the HTTP frontend is enabled
   Engine& engine() { return engine_; }
+  const Engine& engine() const { return engine_; }
   HttpFrontend& httpFrontend() { return *http_; }  // only if it is enabled
   const HttpUpstreamClient& upstream() const { return upstream_; }
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -14,7 +14,7 @@
 #include <utility>
 
 #include "app/fleet_membership.hpp"
-#include "app/forwarder.hpp"
+#include "app/folder_host.hpp"
 #include "config/platform.hpp"
 #include "config/service_config.hpp"
 #include "process/startup_signals.hpp"
@@ -29,13 +29,13 @@
     std::chrono::milliseconds(3'600);  // the platform sends SIGKILL 3.7 s after SIGTERM or later
 
 // Handles SIGHUP: applies a changed discovery address. An invalid file changes nothing.
-void reloadConfiguration(const std::string& path, Forwarder& forwarder) {
+void reloadConfiguration(const std::string& path, FolderHost& folders) {
   try {
     const auto discovery = readDiscoveryAddress(path);
     std::cerr << "SIGHUP: discovery is at " << discovery << std::endl;
-    forwarder.setDiscoveryAddress(discovery);
+    folders.setDiscoveryAddress(discovery);
   } catch (const std::exception& problem) {
-    std::cerr << "SIGHUP: configuration not reloaded: " << problem.what() << std::endl;
+    std::cerr << "SIGHUP: configuration '" << path << "' not reloaded: " << problem.what() << std::endl;
   }
 }
 
@@ -67,7 +67,11 @@
 class ForwarderProcess {
  public:
   ForwarderProcess(boost::asio::io_context& io, const LoadedConfig& loaded)
-      : io_(io), loaded_(loaded), reloadSignals_(io, SIGHUP), stopSignals_(io, SIGTERM, SIGINT) {}
+      : io_(io),
+        loaded_(loaded),
+        reloadSignals_(io, SIGHUP),
+        stopSignals_(io, SIGTERM, SIGINT),
+        folders_(io, loaded.config.discovery) {}
 
   void start() {
     waitForReload();
@@ -78,7 +82,7 @@
     FleetSettings fleet = *loaded_.service.fleet;
     if (fleet.name.empty()) fleet.name = loaded_.config.name;
     membership_ = std::make_unique<FleetMembership>(
-        io_, fleet, fleet.name, loaded_.platformConfigPath, loaded_.config.stateFolder,
+        io_, folders_, fleet, fleet.name, loaded_.platformConfigPath, loaded_.config.stateFolder,
         [this](std::uint64_t epoch) {
           boost::asio::post(io_, [this, epoch] { handleFolderAcquired(epoch); });
         });
@@ -88,18 +92,8 @@
 
  private:
   void handleFolderAcquired(std::uint64_t epoch) {
-    if (forwarder_) return renewOwnership(epoch);
-    serveFolder(epoch);
-  }
-
-  // The lease of the folder was lost meanwhile. Without the new epoch's marker the earlier epoch stays in
-  // use, and the next commit finds out whether another process has the folder.
-  void renewOwnership(std::uint64_t epoch) {
-    try {
-      forwarder_->engine().renewOwnership(std::make_unique<Ownership>(loaded_.config.stateFolder, epoch));
-    } catch (const std::exception& problem) {
-      std::cerr << "thistleyoke: epoch " << epoch << " is not used: " << problem.what() << std::endl;
-    }
+    if (folders_.own() != nullptr) return folders_.renewOwn(epoch);
+    if (!shuttingDown_) serveFolder(epoch);
   }
 
   void serveFolder(std::uint64_t epoch) {
@@ -112,14 +106,12 @@
   }
 
   void serve(std::unique_ptr<Ownership> ownership) {
-    forwarder_ = std::make_unique<Forwarder>(io_, loaded_.config, loaded_.service, std::move(ownership));
-    forwarder_->engine().onFenced([this] {
+    folders_.serveOwn(loaded_.config, loaded_.service, std::move(ownership), [this] {
       std::cerr << "another process has taken over the state folder; exiting" << std::endl;
       exitWith(kExitFolderNotOwned);
     });
-    forwarder_->start();
     std::cerr << loaded_.config.name << " is ready" << std::endl;
-    if (loaded_.service.http) std::cerr << "HTTP frontend at " << forwarder_->httpAddress() << std::endl;
+    if (loaded_.service.http) std::cerr << "HTTP frontend at " << folders_.own()->httpAddress() << std::endl;
     if (std::exchange(reloadDeferred_, false)) reload();
   }
 
@@ -133,21 +125,21 @@
 
   // Deferred until the forwarder serves: it starts with the configuration that was read first.
   void reload() {
-    if (!forwarder_) {
+    if (folders_.own() == nullptr) {
       reloadDeferred_ = true;
       return;
     }
-    reloadConfiguration(loaded_.platformConfigPath, *forwarder_);
+    reloadConfiguration(loaded_.platformConfigPath, folders_);
   }
 
   void shutDown() {
-    const auto stop = [this] {
+    shuttingDown_ = true;
+    folders_.drain(kDrainDuration, [this] {
       if (!membership_) return io_.stop();
-      membership_->close(forwarder_ && forwarder_->engine().messageJournal().hasNoPendingMessages(),
+      const Forwarder* own = folders_.own();
+      membership_->close(own != nullptr && own->engine().messageJournal().hasNoPendingMessages(),
                          [this] { io_.stop(); });
-    };
-    if (!forwarder_) return stop();
-    forwarder_->drain(kDrainDuration, stop);
+    });
   }
 
   void exitWith(int status) {
@@ -159,8 +151,9 @@
   const LoadedConfig& loaded_;
   boost::asio::signal_set reloadSignals_, stopSignals_;
   bool reloadDeferred_ = false;  // a SIGHUP came before the forwarder served
+  bool shuttingDown_ = false;
+  FolderHost folders_;
   std::unique_ptr<FleetMembership> membership_;
-  std::unique_ptr<Forwarder> forwarder_;
   int status_ = 0;
 };
 
--- a/src/directory/notice_sender.cpp
+++ b/src/directory/notice_sender.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "net/bounded_input.hpp"
@@ -26,6 +27,7 @@
 constexpr auto kMinPostInterval = milliseconds(10);
 constexpr int kMinRetryDelayMs = 20, kMaxRetryDelayMs = 250;
 constexpr std::size_t kMaxNoticesPerPost = 150;  // keeps the body below 64 KiB
+constexpr int kLoggedFailures = 3;               // a series of failures is logged with its third one
 
 }  // namespace
 
@@ -119,6 +121,8 @@
 }
 
 void NoticeSender::handleAcknowledgement() {
+  if (consecutiveFailures_ >= kLoggedFailures)
+    std::cerr << "notices: " << address_ << " acknowledges again" << std::endl;
   consecutiveFailures_ = 0;
   closeConnection();
   std::vector<std::string> ids;
@@ -135,7 +139,9 @@
       consecutiveFailures_ == 0
           ? 0
           : std::min(kMaxRetryDelayMs, kMinRetryDelayMs << std::min(consecutiveFailures_ - 1, 10));
-  ++consecutiveFailures_;
+  if (++consecutiveFailures_ == kLoggedFailures)
+    std::cerr << "notices: " << pending_.size() << " not acknowledged by " << address_
+              << ", repeated until they are" << std::endl;
   sendAfter(milliseconds(delayMs));
 }
 
--- /dev/null
+++ b/tests/harness/served_folders_test.cpp
@@ -0,0 +1,233 @@
+// What happens to a process reaches each folder that it serves: its own and those that it has taken over.
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+
+#include "takeover_fixture.hpp"
+
+namespace quilltide::harness {
+namespace {
+
+constexpr milliseconds kTakeoverTimeout{20'000};
+constexpr milliseconds kReadyWithin{10'000};      // of a forwarder that is started again
+constexpr milliseconds kDrainWithin{3'700};       // SIGKILL follows SIGTERM no sooner
+constexpr milliseconds kNoticeOverdue{300 + 50};  // after the end of a message, with the slack of the rules
+
+// f0 is the member that takes over: it is started first, so it has the lease for takeovers.
+struct ServedFoldersTest : TakeoverTest {
+  ServedFoldersTest() : newDirectory(io, harness.portEndpoint("new", "http")) {}
+
+  static std::vector<std::string> ids(const std::string& prefix, int count) {
+    std::vector<std::string> out;
+    for (int i = 0; i < count; ++i) out.push_back(prefix + std::to_string(i));
+    return out;
+  }
+
+  void submitAll(const std::string& forwarder, const std::vector<std::string>& messageIds,
+                 milliseconds timeToLive, const std::string& messageClass = "paiement") {
+    for (const std::string& id : messageIds) submitMessage(forwarder, id, messageClass, 0, timeToLive);
+    lastDeadline = std::chrono::steady_clock::now() + timeToLive;
+    ASSERT_TRUE(waitUntil([&] {
+      return std::all_of(messageIds.begin(), messageIds.end(), [&](const auto& id) { return accepted(id); });
+    })) << harness.timeline().text();
+  }
+
+  bool takesOver(const std::string& member, const std::string& dead) {
+    return harness.waitUntil(
+        [&] { return harness.timeline().countMatches(member, "fleet: takes over " + dead) > 0; },
+        kTakeoverTimeout);
+  }
+  bool completes(const std::string& member, const std::string& dead) {
+    return harness.waitUntil(
+        [&] {
+          return harness.timeline().countMatches(member, "all messages of " + dead + " have ended") > 0;
+        },
+        kTakeoverTimeout);
+  }
+
+  std::string configPath(const std::string& forwarder) {
+    return (harness.child(forwarder).folder() / "config.json").string();
+  }
+  void writeDiscovery(const std::string& forwarder, const std::string& server) {
+    nlohmann::json config = nlohmann::json::parse(std::ifstream(configPath(forwarder)));
+    config["discovery"] = toString(harness.linkEndpoint(forwarder, server, "http"));
+    std::ofstream(configPath(forwarder)) << config.dump();
+  }
+  // A new configuration and SIGHUP.
+  void moveDiscovery(const std::string& forwarder, const std::string& server) {
+    writeDiscovery(forwarder, server);
+    harness.child(forwarder).sendSignal(SIGHUP);
+  }
+  void endOldDirectory() {
+    for (const auto& [name, link] : harness.links(".*->directory.http")) {
+      link->refuseConnections(true);
+      link->resetConnections();
+    }
+  }
+
+  // Waits until notices are overdue, and expects one for each message, all at the new address.
+  void expectNoticesAtNewDirectory(const std::vector<std::string>& messageIds) {
+    const auto untilOverdue = std::chrono::duration_cast<milliseconds>(lastDeadline + kNoticeOverdue -
+                                                                       std::chrono::steady_clock::now());
+    harness.waitUntil([&] { return newDirectory.notices().size() >= messageIds.size(); },
+                      std::max(untilOverdue, milliseconds(0)));
+    for (const std::string& id : messageIds) {
+      EXPECT_TRUE(newDirectory.notices().contains(id)) << id << " has no notice";
+      EXPECT_FALSE(directory.notices().contains(id)) << id << " has a notice at the old address";
+      const auto notice = newDirectory.notices().find(id);
+      EXPECT_TRUE(notice == newDirectory.notices().end() || !notice->second.conflicting) << id;
+    }
+  }
+  void expectReadyAgain(const std::string& forwarder) {
+    harness.start(forwarder);
+    EXPECT_TRUE(harness.waitForLine(forwarder, "is ready", kReadyWithin)) << harness.timeline().text();
+  }
+
+  Directory newDirectory;
+  std::chrono::steady_clock::time_point lastDeadline;
+};
+
+// After SIGHUP the notices of a folder that had been taken over went on to the old address: none arrived, and
+// the folder's own forwarder was never ready again (review/9). The dead member's file still names the old
+// address.
+TEST_F(ServedFoldersTest, NoticesOfATakenOverFolderGoToTheNewAddress) {
+  startForwarders(2);
+  partner.goOffline();
+  const auto messages = ids("m", 4);
+  submitAll("f1", messages, milliseconds(6'000));
+  harness.child("f1").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  moveDiscovery("f0", "new");
+  endOldDirectory();
+  expectNoticesAtNewDirectory(messages);
+  EXPECT_TRUE(completes("f0", "f1")) << harness.timeline().text();
+  expectReadyAgain("f1");
+}
+
+// After SIGHUP the watch of a folder that had been taken over stayed with the old address: a target that only
+// the new one lists was never called.
+TEST_F(ServedFoldersTest, WatchOfATakenOverFolderGoesToTheNewAddress) {
+  startForwarders(2);
+  Partner newPartner(io, 0, effects);
+  partner.goOffline();
+  const auto messages = ids("m", 8);
+  submitAll("f1", messages, milliseconds(12'000));
+  harness.child("f1").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  moveDiscovery("f0", "new");
+  endOldDirectory();
+  harness.runFor(milliseconds(500));
+  newDirectory.set({"p0", partner.hostAndPort(), 0});
+  newDirectory.set({"p1", newPartner.hostAndPort(), 0});
+  EXPECT_TRUE(completes("f0", "f1")) << harness.timeline().text();
+  for (const std::string& id : messages) EXPECT_EQ(effects.countOf(id), 1U) << id;
+}
+
+// A folder that is claimed after SIGHUP was served with the address in the dead member's file, which nobody
+// brings up to date.
+TEST_F(ServedFoldersTest, FolderTakenOverAfterTheMoveUsesTheNewAddress) {
+  startForwarders(2);
+  partner.goOffline();
+  const auto messages = ids("m", 4);
+  submitAll("f1", messages, milliseconds(6'000));
+  harness.child("f1").kill();
+  moveDiscovery("f0", "new");
+  endOldDirectory();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  expectNoticesAtNewDirectory(messages);
+  EXPECT_TRUE(completes("f0", "f1")) << harness.timeline().text();
+}
+
+// A SIGHUP in the moments between the claim of a folder and its start, and again while it is handed back,
+// leaves no folder at an older address.
+TEST_F(ServedFoldersTest, MovesDuringATakeoverAndItsEndLoseNoNotice) {
+  startForwarders(2);
+  partner.goOffline();
+  const auto messages = ids("m", 4);
+  submitAll("f1", messages, milliseconds(6'000));
+  harness.child("f1").kill();
+  ASSERT_TRUE(harness.waitUntil(
+      [&] { return harness.timeline().countMatches("f0", "f1 is down, requesting its folder") > 0; },
+      kTakeoverTimeout));
+  moveDiscovery("f0", "new");
+  endOldDirectory();
+  expectNoticesAtNewDirectory(messages);
+  harness.start("f1");
+  moveDiscovery("f0", "directory");
+  moveDiscovery("f0", "new");
+  EXPECT_TRUE(harness.waitForLine("f1", "is ready", kReadyWithin)) << harness.timeline().text();
+  EXPECT_TRUE(harness.child("f0").running());
+}
+
+// With two folders taken over, a file that cannot be used changes nothing, and of two moves in a row the last
+// one counts, for both folders.
+TEST_F(ServedFoldersTest, LastOfSeveralMovesCountsForEachOfTwoFolders) {
+  startForwarders(3);
+  Directory passedDirectory(io, harness.portEndpoint("passed", "http"));
+  partner.goOffline();
+  auto messages = ids("a", 4);
+  submitAll("f1", messages, milliseconds(9'000));
+  const auto others = ids("b", 4);
+  submitAll("f2", others, milliseconds(9'000));
+  messages.insert(messages.end(), others.begin(), others.end());
+  harness.child("f1").kill();
+  harness.child("f2").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  ASSERT_TRUE(takesOver("f0", "f2"));
+  const std::string good = nlohmann::json::parse(std::ifstream(configPath("f0"))).dump();
+  std::ofstream(configPath("f0")) << good.substr(0, good.size() / 2);
+  harness.child("f0").sendSignal(SIGHUP);
+  ASSERT_TRUE(harness.waitForLine("f0", "SIGHUP: configuration .*not reloaded", milliseconds(2'000)));
+  std::ofstream(configPath("f0")) << good;
+  moveDiscovery("f0", "passed");
+  ASSERT_TRUE(harness.waitForLine("f0", "SIGHUP: discovery is at", milliseconds(2'000)));
+  moveDiscovery("f0", "new");
+  endOldDirectory();
+  expectNoticesAtNewDirectory(messages);
+  EXPECT_TRUE(passedDirectory.notices().empty());
+  EXPECT_TRUE(completes("f0", "f1")) << harness.timeline().text();
+  EXPECT_TRUE(completes("f0", "f2")) << harness.timeline().text();
+}
+
+// The member that took a folder over dies after the move: the next one serves the folder with the new
+// address, although both dead members' files name the old one, and the owner is ready again.
+TEST_F(ServedFoldersTest, SuccessorOfASuccessorUsesTheNewAddress) {
+  startForwarders(3);
+  partner.goOffline();
+  const auto messages = ids("m", 4);
+  submitAll("f1", messages, milliseconds(10'000));
+  harness.child("f1").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  moveDiscovery("f0", "new");
+  moveDiscovery("f2", "new");
+  endOldDirectory();
+  harness.child("f0").kill();
+  ASSERT_TRUE(takesOver("f2", "f1"));
+  expectNoticesAtNewDirectory(messages);
+  EXPECT_TRUE(completes("f2", "f1")) << harness.timeline().text();
+  expectReadyAgain("f1");
+}
+
+// A dead member's configuration that is missing or half written is logged with its name, and its folder is
+// taken over once it is whole.
+TEST_F(ServedFoldersTest, FolderOfAMemberWithAnUnreadableFileIsTakenOverOnceItIsWhole) {
+  startForwarders(2);
+  partner.goOffline();
+  const auto messages = ids("m", 2);
+  submitAll("f1", messages, milliseconds(15'000));
+  harness.child("f1").kill();
+  const std::string path = configPath("f1");
+  std::filesystem::rename(path, path + ".aside");
+  ASSERT_TRUE(
+      harness.waitForLine("f0", "cannot take over f1, configuration '" + path + "'", kTakeoverTimeout));
+  const std::string whole = nlohmann::json::parse(std::ifstream(path + ".aside")).dump();
+  std::ofstream(path) << whole.substr(0, whole.size() / 2);
+  ASSERT_TRUE(harness.waitForLine("f0", "cannot take over f1.*is not JSON", kTakeoverTimeout));
+  std::ofstream(path) << whole;
+  partner.comeOnline();
+  EXPECT_TRUE(completes("f0", "f1")) << harness.timeline().text();
+  for (const std::string& id : messages) EXPECT_EQ(effects.countOf(id), 1U) << id;
+}
+
+}  // namespace
+}  // namespace quilltide::harness
