Folders: SIGTERM drains taken-over folders, too

Seen by callers: a member that serves the folder of another one gets SIGTERM. Calls for that folder were begun until the end of the process and cut by it although they would have been answered within the drain; unsafe messages that were delivered were told as given up. Cause: drain() reached the own folder alone, as the new discovery address did; the other forwarders were destroyed with calls out. Change: FolderHost::drain() drains all folders; the process ends, and its leases are given back, when all are drained. Why it works: the decision module of each folder is told how long the process lives, and begins no call that cannot end in that time.

--- a/src/app/folder_host.cpp
+++ b/src/app/folder_host.cpp
@@ -2,6 +2,7 @@
 // of its own, so that it can be destroyed while its operations are pending.
 #include "app/folder_host.hpp"
 
+#include <boost/asio/post.hpp>
 #include <iostream>
 #include <utility>
 
@@ -18,6 +19,7 @@
 struct FolderHost::Folder {
   std::string stateFolder;
   std::unique_ptr<Forwarder> forwarder;
+  bool drained = false;
 };
 
 struct FolderHost::TakenOverFolder {
@@ -90,6 +92,7 @@
   const TakeoverEndHandler onEnd = std::move(takenOver_.at(member)->onEnd);
   takenOver_.erase(member);
   onEnd(member, end);
+  reportIfDrained();
 }
 
 void FolderHost::renewOwn(std::uint64_t epoch) {
@@ -123,8 +126,22 @@
 }
 
 void FolderHost::drain(std::chrono::milliseconds timeLimit, std::function<void()> onDrained) {
-  if (!own_) return onDrained();
-  own_->forwarder->drain(timeLimit, std::move(onDrained));
+  onDrained_ = std::move(onDrained);
+  forEachFolder([&](Folder& folder) {
+    folder.forwarder->drain(timeLimit, [this, &folder] {
+      folder.drained = true;
+      reportIfDrained();
+    });
+  });
+  reportIfDrained();
+}
+
+// Posted, because the caller may be an operation of a forwarder that the handler destroys.
+void FolderHost::reportIfDrained() {
+  if (!onDrained_) return;
+  bool drained = true;
+  forEachFolder([&](const Folder& folder) { drained = drained && folder.drained; });
+  if (drained) boost::asio::post(io_, std::exchange(onDrained_, nullptr));
 }
 
 void FolderHost::stopTakenOver() { takenOver_.clear(); }
--- a/src/app/folder_host.hpp
+++ b/src/app/folder_host.hpp
@@ -73,11 +73,13 @@
   void forEachFolder(Visitor visit);
   void runTakenOver(const std::string& member);
   void endTakeover(const std::string& member, TakeoverEnd end);
+  void reportIfDrained();
 
   boost::asio::io_context& io_;
   tcp::endpoint discovery_;
   std::unique_ptr<Folder> own_;
   std::map<std::string, std::unique_ptr<TakenOverFolder>> takenOver_;  // by member
+  std::function<void()> onDrained_;                                    // set during a drain
 };
 
 }  // namespace quilltide::net
--- a/tests/harness/served_folders_test.cpp
+++ b/tests/harness/served_folders_test.cpp
@@ -83,6 +83,41 @@
     EXPECT_TRUE(harness.waitForLine(forwarder, "is ready", kReadyWithin)) << harness.timeline().text();
   }
 
+  // A folder that was taken over is being delivered when SIGTERM comes, by calls that take 900 ms: no call is
+  // cut, and the owner continues afterwards.
+  void drainsATakenOverFolder(int messageCount) {
+    startForwarders(2);
+    partner.goOffline();
+    const auto messages = ids("m", messageCount);
+    submitAll("f1", messages, milliseconds(16'000));
+    harness.child("f1").kill();
+    PartnerSettings slow;
+    slow.responseDelay = milliseconds(900);
+    partner.configure(slow);
+    partner.comeOnline();
+    ASSERT_TRUE(takesOver("f0", "f1"));
+    ASSERT_TRUE(waitUntil([&] { return !effects.all().empty(); }));
+    harness.child("f0").sendSignal(SIGTERM);
+    const auto signalled = std::chrono::steady_clock::now();
+    ASSERT_TRUE(waitForExit("f0"));
+    EXPECT_LE(std::chrono::steady_clock::now() - signalled, kDrainWithin);
+    harness.runFor(milliseconds(1'200));  // until the partner has answered the last call
+    for (const Effect& effect : effects.all()) EXPECT_TRUE(effects.isSettled(effect.id)) << effect.id;
+    expectReadyAgain("f1");
+    EXPECT_TRUE(waitUntil(
+        [&] {
+          return std::all_of(messages.begin(), messages.end(), [&](const std::string& id) {
+            return effects.isSettled(id) || directory.notices().contains(id);
+          });
+        },
+        20'000))
+        << harness.timeline().text();
+    for (const std::string& id : messages) {
+      EXPECT_LE(effects.countOf(id), 1U) << id;
+      EXPECT_EQ(effects.countOf(id) + directory.notices().contains(id), 1U) << id << " was cut and given up";
+    }
+  }
+
   Directory newDirectory;
   std::chrono::steady_clock::time_point lastDeadline;
 };
@@ -229,5 +264,37 @@
   for (const std::string& id : messages) EXPECT_EQ(effects.countOf(id), 1U) << id;
 }
 
+// SIGTERM reached the own folder alone: calls of a taken-over folder were begun until the end of the process,
+// and cut by it, although their responses came within the drain. Its messages were then given up.
+TEST_F(ServedFoldersTest, CallsOfATakenOverFolderAreDrainedBySigterm) { drainsATakenOverFolder(40); }
+
+// The same with several messages in a call.
+TEST_F(ServedFoldersTest, BatchesOfATakenOverFolderAreDrainedBySigterm) {
+  messagesPerCall = 8;
+  drainsATakenOverFolder(240);
+}
+
+// With two folders taken over and a target that hangs, the process ends in time, and the leases are given
+// back at its end: both owners start without waiting for a term to end.
+TEST_F(ServedFoldersTest, SigtermWithTwoTakenOverFoldersGivesBothBack) {
+  startForwarders(3);
+  partner.setScript([](const std::string&, int) { return Behavior::hangAfterEffect; });
+  const auto first = ids("a", 3), second = ids("b", 3);
+  submitAll("f1", first, milliseconds(16'000));
+  submitAll("f2", second, milliseconds(16'000), "statut");
+  harness.child("f1").kill();
+  harness.child("f2").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  ASSERT_TRUE(takesOver("f0", "f2"));
+  harness.child("f0").sendSignal(SIGTERM);
+  const auto signalled = std::chrono::steady_clock::now();
+  ASSERT_TRUE(waitForExit("f0"));
+  EXPECT_LE(std::chrono::steady_clock::now() - signalled, kDrainWithin);
+  EXPECT_FALSE(holds("f0", "folder/f1") || holds("f0", "folder/f2"));
+  expectReadyAgain("f1");
+  expectReadyAgain("f2");
+  for (const std::string& id : first) EXPECT_EQ(effects.countOf(id), 1U) << id;
+}
+
 }  // namespace
 }  // namespace quilltide::harness
--- a/tests/harness/takeover_fixture.hpp
+++ b/tests/harness/takeover_fixture.hpp
@@ -31,7 +31,8 @@
     directory.set({"p0", partner.hostAndPort(), 0});
     for (int i = 0; i < count; ++i) {
       const std::string name = "f" + std::to_string(i);
-      const nlohmann::json config = forwarderConfig(name, i, directory.snapshot());
+      nlohmann::json config = forwarderConfig(name, i, directory.snapshot());
+      config["settings"]["familyInfo"]["kindBatch"] = {messagesPerCall};
       const std::string toml =
           "[platform]\nconfig = \"{folder}/config.json\"\nstate = \"{state}\"\n[fleet]\ncoordinators = \"" +
           coordinatorsArgument(1) + "\"\nterm_ms = 600\ntake_over = true\ngone_after_ms = 300\n";
@@ -69,6 +70,7 @@
   }
   std::size_t takeoverCount() { return harness.timeline().countMatches("f[0-9]", "fleet: takes over f"); }
 
+  int messagesPerCall = 1;  // set before startForwarders()
   EffectLog effects;
   Directory directory;
   Partner partner;
