Fleet: a member that is ending takes no further folder over

Seen by callers: after SIGTERM a member went on to look for folders without an owner, took one over within its drain, and cut the calls for it with its end 3.6 s after SIGTERM; nobody else looked for folders meanwhile. Cause: the shutdown was told to the forwarder, and to FleetMembership only after the drain. Change: with SIGTERM the lease for takeovers is given back and claims are withdrawn; folders that are served are drained. Measured: MemberThatEndsTakesNoFolderOver failed before (f0 took f1 over during its drain) and passes: f2 takes it over.

--- a/src/app/fleet_membership.cpp
+++ b/src/app/fleet_membership.cpp
@@ -70,6 +70,7 @@
   }
   if (e.kind != Event::Kind::leaseAcquired) return;
   if (e.lease == fleet::kTakeoverLeaseName) {
+    if (claimingStopped_) return;
     std::cerr << "fleet: coordinating takeovers, token " << e.token << std::endl;
     coordinatesTakeovers_ = true;
     return scheduleScan();
@@ -90,7 +91,7 @@
                [](const fleet::Result&) {});
   onFolderAcquired_(epoch);
   if (std::exchange(acquiredBefore_, true)) return;
-  if (settings_.takeOverEnabled) session_.acquire(fleet::kTakeoverLeaseName, false);
+  if (settings_.takeOverEnabled && !claimingStopped_) session_.acquire(fleet::kTakeoverLeaseName, false);
 }
 
 // ---- Takeover of orphaned folders ----
@@ -180,6 +181,16 @@
                [releaseLease](const fleet::Result&) { releaseLease(); });
 }
 
+void FleetMembership::stopClaiming() {
+  claimingStopped_ = true;
+  coordinatesTakeovers_ = false;
+  scanAlarm_.disarm();
+  session_.release(fleet::kTakeoverLeaseName);
+  for (const std::string& name : std::set<std::string>(takeover_.takingOver())) {
+    if (!folders_.hasTakenOver(name)) finishTakeover(name, false);
+  }
+}
+
 void FleetMembership::close(bool folderEmpty, std::function<void()> closed) {
   closing_ = true;
   scanAlarm_.disarm();
--- a/src/app/fleet_membership.hpp
+++ b/src/app/fleet_membership.hpp
@@ -29,8 +29,11 @@
   FleetMembership& operator=(const FleetMembership&) = delete;
 
   void start();
-  // Releases the folder and calls `closed`. `folderEmpty`: the folder has no pending messages, so it is
-  // unregistered and not taken over.
+  // Claims no further folders, and lets another member coordinate takeovers. Folders that were taken over are
+  // served on.
+  void stopClaiming();
+  // Gives up the folders that were taken over. Releases the folder and calls `closed`. `folderEmpty`: the
+  // folder has no pending messages, so it is unregistered and not taken over.
   void close(bool folderEmpty, std::function<void()> closed);
 
  private:
@@ -51,7 +54,7 @@
   fleet::SessionClient session_;
   fleet::TakeoverPlanner takeover_;
   clocks::Alarm scanAlarm_;
-  bool coordinatesTakeovers_ = false, closing_ = false;
+  bool coordinatesTakeovers_ = false, claimingStopped_ = false, closing_ = false;
   std::map<std::string, std::string> registrations_;  // folder registrations by forwarder name, as last read
 };
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -134,6 +134,7 @@
 
   void shutDown() {
     shuttingDown_ = true;
+    if (membership_) membership_->stopClaiming();
     folders_.drain(kDrainDuration, [this] {
       if (!membership_) return io_.stop();
       const Forwarder* own = folders_.own();
--- a/tests/harness/served_folders_test.cpp
+++ b/tests/harness/served_folders_test.cpp
@@ -296,5 +296,17 @@
   for (const std::string& id : first) EXPECT_EQ(effects.countOf(id), 1U) << id;
 }
 
+// A member that was ending went on to take folders over, and cut their calls with its end.
+TEST_F(ServedFoldersTest, MemberThatEndsTakesNoFolderOver) {
+  startForwarders(3);
+  partner.goOffline();
+  submitAll("f1", ids("m", 4), milliseconds(16'000));
+  harness.child("f0").sendSignal(SIGTERM);
+  harness.child("f1").kill();
+  EXPECT_TRUE(takesOver("f2", "f1")) << harness.timeline().text();
+  ASSERT_TRUE(waitForExit("f0"));
+  EXPECT_EQ(harness.timeline().countMatches("f0", "fleet: takes over"), 0U);
+}
+
 }  // namespace
 }  // namespace quilltide::harness
