--- a/src/app/folder_host.cpp
+++ b/src/app/folder_host.cpp
@@ -64,8 +64,9 @@
   takenOver->onEnd = std::move(onEnd);
   Folder& folder = takenOver->folder;
   folder.stateFolder = config.stateFolder;
-  folder.forwarder =
-      std::make_unique<Forwarder>(takenOver->io, config, ServiceConfig{}, std::move(ownership));
+  ServiceConfig serviceConfig;
+  serviceConfig.servesFolderOfAnother = true;
+  folder.forwarder = std::make_unique<Forwarder>(takenOver->io, config, serviceConfig, std::move(ownership));
   folder.forwarder->engine().onFenced([target = takenOver.get()] { target->superseded = true; });
   folder.forwarder->startWithoutFrontends();
   folder.forwarder->setDiscoveryAddress(discovery_);
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -17,7 +17,7 @@
 
 Forwarder::Forwarder(boost::asio::io_context& io, const PlatformConfig& config,
                      const ServiceConfig& serviceConfig, std::unique_ptr<Ownership> ownership)
-    : engine_(io, config, serviceConfig.outcomeRetention(), std::move(ownership)),
+    : engine_(io, config, serviceConfig.retentionSource(), std::move(ownership)),
       upstream_(
           io, config, computeBudget(config, serviceConfig).targetConnections,
           [this](const TargetId& to, const std::vector<const UpstreamRequest*>& requests) {
--- a/src/config/service_config.hpp
+++ b/src/config/service_config.hpp
@@ -44,7 +44,12 @@
   std::string platformConfigPath, stateFolder;
   std::optional<HttpFrontendSettings> http;
   std::optional<FleetSettings> fleet;
+  bool servesFolderOfAnother = false;  // the state folder belongs to another member of the fleet
   OutcomeRetention outcomeRetention() const { return http ? http->outcomeRetention : OutcomeRetention{}; }
+  // The retention of a folder belongs to the folder: whoever serves it for its owner keeps the owner's.
+  RetentionSource retentionSource() const {
+    return servesFolderOfAnother ? RetentionSource::recordedInFolder() : RetentionSource(outcomeRetention());
+  }
 };
 
 // All errors of a configuration file, one line each, as "FILE:LINE: KEY: PROBLEM".
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-Engine::Engine(boost::asio::io_context& io, const PlatformConfig& config, const OutcomeRetention& retention,
+Engine::Engine(boost::asio::io_context& io, const PlatformConfig& config, const RetentionSource& retention,
                std::unique_ptr<Ownership> ownership)
     : io_(io),
       settings_(config.settings),
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -35,7 +35,7 @@
   using OutcomeHandler = std::function<void(const FinalOutcome&)>;
 
   // Opens the journal in config.stateFolder. Throws std::runtime_error if the journal cannot be opened.
-  Engine(boost::asio::io_context& io, const PlatformConfig& config, const OutcomeRetention& retention = {},
+  Engine(boost::asio::io_context& io, const PlatformConfig& config, const RetentionSource& retention = {},
          std::unique_ptr<Ownership> ownership = nullptr);
   void attach(UpstreamClient& upstream, DirectoryClient& directory);
   // Recovers the messages and notices of the journal and processes the first events.
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -14,6 +14,7 @@
 #include <cstring>
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <stdexcept>
@@ -31,6 +32,9 @@
 constexpr std::size_t kSpareBytes = 100'000;          // space kept free for records about pending messages
 constexpr std::size_t kBlockBytes = 512;
 constexpr std::size_t kMaxEndedIds = 4'096;  // remembered ids of ended messages
+// For a folder with outcomes and without a record of its retention: all are kept until its owner is back.
+constexpr OutcomeRetention kUnknownRetention{Micros{365} * 24 * 3'600 * 1'000'000,
+                                             std::numeric_limits<std::uint32_t>::max()};
 
 // Throws std::runtime_error if the file cannot be read: it must not be taken for an empty one.
 std::string readWhole(const std::string& path) {
@@ -102,6 +106,10 @@
   return encode(json::array({"position", toBinary(""), position, epoch}));
 }
 
+std::string retentionRecord(const OutcomeRetention& retention) {
+  return encode(json::array({"retention", toBinary(""), retention.duration, retention.maxCount}));
+}
+
 // Estimated size of an outcome's record.
 std::size_t outcomeSizeBytes(const FinalOutcome& outcome) { return 100 + outcome.id.size(); }
 
@@ -150,12 +158,13 @@
   return {hash.low64, hash.high64};
 }
 
-Journal::Journal(const std::string& folder, std::size_t diskBytes, const OutcomeRetention& retention,
+Journal::Journal(const std::string& folder, std::size_t diskBytes, const RetentionSource& retention,
                  std::unique_ptr<Ownership> ownership)
     : ownership_(std::move(ownership)),
       path_(ownership_ ? ownership_->journalPath() : folder + "/journal"),
       diskBytes_(diskBytes - std::min(diskBytes, 2 * kBlockBytes)),
-      retention_(retention) {
+      retention_(retention.settings),
+      retentionFromFolder_(retention.recorded) {
   if (!ownership_ && Ownership::hasOwnershipMarks(folder))
     throw std::runtime_error("the folder '" + folder +
                              "' belongs to a fleet: start with a [fleet] configuration");
@@ -175,7 +184,8 @@
     replay(previousPath, false);
     if (!compact()) throw std::runtime_error("cannot take over '" + previousPath + "' into '" + path_ + "'");
   }
-  if (ownership_) ownership_->removeOlderEpochs();
+  if (ownership_) removeOlderEpochs();
+  recordRetention();
   if (!retention_.enabled() || epoch_ != 0) return;
   std::random_device random;
   while (epoch_ == 0) epoch_ = random();
@@ -199,7 +209,7 @@
   rewriteNeeded_ = true;  // until this epoch's file is complete, no commit succeeds
   if (compact()) {
     durablePosition_ = lastPosition_;
-    ownership_->removeOlderEpochs();
+    removeOlderEpochs();
   }
   return true;
 }
@@ -214,6 +224,24 @@
   return pendingMessages_.empty();
 }
 
+// Until the new file is on disk, a failure of the machine may leave the older ones alone.
+void Journal::removeOlderEpochs() {
+  const std::string folder = path_.substr(0, path_.rfind('/'));
+  const int directory = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  const bool synced = directory >= 0 && ::fsync(file_) == 0 && ::fsync(directory) == 0;
+  const int error = errno;
+  if (directory >= 0) ::close(directory);
+  if (synced) return ownership_->removeOlderEpochs();
+  std::cerr << "journal: files of earlier epochs are kept: " << std::strerror(error) << std::endl;
+}
+
+void Journal::recordRetention() {
+  if (retentionFromFolder_) return;
+  if (recordedRetention_.value_or(OutcomeRetention{}) == retention_) return;
+  recordedRetention_ = retention_;
+  appendRecord(retentionRecord(retention_));
+}
+
 Journal::~Journal() {
   if (file_ >= 0) ::close(file_);
 }
@@ -278,6 +306,7 @@
   if (type == "position") {
     lastPosition_ = std::max(lastPosition_, record.at(2).get<std::uint64_t>());
     epoch_ = record.at(3).get<std::uint32_t>();
+    if (retentionFromFolder_ && !recordedRetention_) retention_ = kUnknownRetention;
     return;
   }
   if (type == "answer") {
@@ -291,9 +320,11 @@
     outcome.destination = record.at(7).get<std::int64_t>();
     outcome.attempts = record.at(8).get<int>();
     outcome.digest = {record.at(9).get<std::uint64_t>(), record.at(10).get<std::uint64_t>()};
-    lastPosition_ = std::max(lastPosition_, outcome.position);
-    const bool known = !outcomes_.empty() && outcome.position <= outcomes_.back().position;
-    if (retention_.enabled() && !known) retainOutcome(std::move(outcome));
+    applyOutcomeRecord(std::move(outcome));
+    return;
+  }
+  if (type == "retention") {
+    applyRetentionRecord({record.at(2).get<Micros>(), record.at(3).get<std::size_t>()});
     return;
   }
   PendingMessage* message = find(id);
@@ -311,6 +342,19 @@
   }
 }
 
+void Journal::applyRetentionRecord(const OutcomeRetention& recorded) {
+  recordedRetention_ = recorded;
+  if (retentionFromFolder_) retention_ = recorded;
+}
+
+// An outcome that is not retained still tells that its message has ended.
+void Journal::applyOutcomeRecord(FinalOutcome outcome) {
+  lastPosition_ = std::max(lastPosition_, outcome.position);
+  if (!retention_.enabled()) return rememberEnded(outcome.id, outcome.digest);
+  const bool known = !outcomes_.empty() && outcome.position <= outcomes_.back().position;
+  if (!known) retainOutcome(std::move(outcome));
+}
+
 void Journal::rememberEnded(const std::string& id, const Digest& digest) {
   if (!endedDigests_.emplace(id, digest).second) return;
   if (endedIds_.size() < kMaxEndedIds) {
@@ -515,6 +559,8 @@
     }
     if (message->notice) content += frame(noticeRecord(id, *message->notice));
   }
+  if (recordedRetention_ && recordedRetention_->enabled())
+    content += frame(retentionRecord(*recordedRetention_));
   if (epoch_ > 0) content += frame(positionRecord(epoch_, lastPosition_));
   for (const FinalOutcome& outcome : outcomes_) content += frame(outcomeRecord(outcome));
   const std::string temporaryPath = path_ + ".new";
--- a/src/journal/journal.hpp
+++ b/src/journal/journal.hpp
@@ -60,6 +60,22 @@
   Micros duration = 0;
   std::size_t maxCount = 0;
   bool enabled() const { return duration > 0 && maxCount > 0; }
+  bool operator==(const OutcomeRetention&) const = default;
+};
+
+// Who decides on the retention of a folder's outcomes: its owner, whose settings are recorded in the folder,
+// or the settings that are recorded there, for a process that serves the folder of another one.
+struct RetentionSource {
+  // Retention as set by the owner of the folder.
+  RetentionSource(const OutcomeRetention& ownerSettings = {})  // NOLINT(google-explicit-constructor)
+      : settings(ownerSettings) {}
+  static RetentionSource recordedInFolder() {
+    RetentionSource source;
+    source.recorded = true;
+    return source;
+  }
+  OutcomeRetention settings;
+  bool recorded = false;
 };
 
 // An accepted message whose end is not yet acknowledged: it is still to be delivered, or its notice is
@@ -90,7 +106,7 @@
   // `ownership`, claims the folder for its epoch first and copies the journal of the previous epoch into
   // a new file. Without it, the folder must never have been claimed. Throws std::runtime_error if the
   // folder cannot be used.
-  Journal(const std::string& folder, std::size_t diskBytes, const OutcomeRetention& retention = {},
+  Journal(const std::string& folder, std::size_t diskBytes, const RetentionSource& retention = {},
           std::unique_ptr<Ownership> ownership = nullptr);
   ~Journal();
   Journal(const Journal&) = delete;
@@ -162,6 +178,7 @@
   }
   bool hasNoPendingMessages() const { return pendingMessages_.empty(); }
   std::size_t fileBytes() const { return fileBytes_; }
+  const OutcomeRetention& retention() const { return retention_; }
 
  private:
   // Reads a time that was recorded by both clocks, as one of the monotonic clock of this boot.
@@ -175,6 +192,12 @@
   // Logs the first failure of a series; `error` is an errno.
   void logFailure(const char* what, int error);
   void rememberEnded(const std::string& id, const Digest& digest);
+  // Writes the settings of the owner to the folder if those recorded there differ.
+  void recordRetention();
+  void applyRetentionRecord(const OutcomeRetention& recorded);
+  void applyOutcomeRecord(FinalOutcome outcome);
+  // Deletes the files of lower epochs once the file of this epoch is synced to disk.
+  void removeOlderEpochs();
   void retainOutcome(FinalOutcome outcome);
 
   bool adoptPreviousOwner(const std::string& previousPath);
@@ -197,6 +220,8 @@
   std::size_t oldestEnded_ = 0;
 
   OutcomeRetention retention_;
+  bool retentionFromFolder_;                           // see RetentionSource
+  std::optional<OutcomeRetention> recordedRetention_;  // nothing in folders of the former format
   std::deque<FinalOutcome> outcomes_;  // ordered by position; also by time, except after clock steps
   std::unordered_map<std::string, std::uint64_t> outcomePositions_;
   std::size_t outcomeBytes_ = 0;       // space of `outcomes_` in the file
--- a/tests/harness/served_folders_test.cpp
+++ b/tests/harness/served_folders_test.cpp
@@ -308,5 +308,43 @@
   EXPECT_EQ(harness.timeline().countMatches("f0", "fleet: takes over"), 0U);
 }
 
+// The member that served a folder forgot the outcomes that the owner kept, and kept none of its own: messages
+// that were handed in again under the same ids ran twice (review/1).
+TEST_F(ServedFoldersTest, OutcomesOutlastATakeoverAndTheOwnersReturn) {
+  serviceSettings = "[doors.http]\nlisten = \"{at:http}\"\n";
+  startForwarders(2);
+  const auto delivered = ids("a", 3), pending = ids("b", 3);
+  submitAll("f1", delivered, milliseconds(15'000));
+  ASSERT_TRUE(waitUntil([&] {
+    return std::all_of(delivered.begin(), delivered.end(),
+                       [&](const std::string& id) { return effects.isSettled(id); });
+  }));
+  harness.runFor(milliseconds(1'000));  // until the responses are reviewed
+  partner.goOffline();
+  submitAll("f1", pending, milliseconds(15'000));
+  harness.child("f1").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  partner.comeOnline();
+  ASSERT_TRUE(completes("f0", "f1")) << harness.timeline().text();
+  expectReadyAgain("f1");
+  const auto http = makeHttpClient(io, harness.portEndpoint("f1", "http"), 2);
+  std::map<std::string, SubmitResult> repeated;
+  for (const auto* group : {&delivered, &pending}) {
+    for (const std::string& id : *group) {
+      Message message;
+      message.id = id;
+      message.messageClass = "paiement";
+      message.body = "{}";
+      http->submit(message, [&, id](const SubmitResult& result) { repeated[id] = result; });
+    }
+  }
+  ASSERT_TRUE(waitUntil([&] { return repeated.size() == delivered.size() + pending.size(); }));
+  harness.runFor(milliseconds(500));
+  for (const auto& [id, result] : repeated) {
+    EXPECT_EQ(result.kind, SubmitResult::Kind::accepted) << id << ": " << result.detail;
+    EXPECT_EQ(effects.countOf(id), 1U) << id;
+  }
+}
+
 }  // namespace
 }  // namespace quilltide::harness
--- a/tests/harness/takeover_fixture.hpp
+++ b/tests/harness/takeover_fixture.hpp
@@ -35,7 +35,8 @@
       config["settings"]["familyInfo"]["kindBatch"] = {messagesPerCall};
       const std::string toml =
           "[platform]\nconfig = \"{folder}/config.json\"\nstate = \"{state}\"\n[fleet]\ncoordinators = \"" +
-          coordinatorsArgument(1) + "\"\nterm_ms = 600\ntake_over = true\ngone_after_ms = 300\n";
+          coordinatorsArgument(1) + "\"\nterm_ms = 600\ntake_over = true\ngone_after_ms = 300\n" +
+          serviceSettings;
       harness.add({name,
                    FORWARDER,
                    {"--config", "{folder}/thistleyoke.toml"},
@@ -70,7 +71,8 @@
   }
   std::size_t takeoverCount() { return harness.timeline().countMatches("f[0-9]", "fleet: takes over f"); }
 
-  int messagesPerCall = 1;  // set before startForwarders()
+  int messagesPerCall = 1;      // set before startForwarders()
+  std::string serviceSettings;  // more of each forwarder's own configuration; set before startForwarders()
   EffectLog effects;
   Directory directory;
   Partner partner;
