--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -530,8 +530,10 @@
   return !fenced_;
 }
 
+// A compaction needs space for its whole file beside the present one: it comes while there still is enough.
 bool Journal::writeUncommitted() {
-  const bool overLimit = fileBytes_ + uncommitted_.size() + reservedBytes_ + kBlockBytes > diskBytes_;
+  const std::size_t compactedBytes = reservedBytes_ + outcomeBytes_ + kBlockBytes;
+  const bool overLimit = fileBytes_ + uncommitted_.size() + compactedBytes > diskBytes_;
   const bool mostlyObsolete = fileBytes_ > 4 * (reservedBytes_ + outcomeBytes_ + kSpareBytes);
   if (!rewriteNeeded_ && !overLimit && !mostlyObsolete && appendToFile(uncommitted_)) {
     uncommitted_.clear();
--- a/tests/outcome_retention_test.cpp
+++ b/tests/outcome_retention_test.cpp
@@ -2,6 +2,7 @@
 // it.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
@@ -267,5 +268,30 @@
   EXPECT_NE(owner->find("b"), nullptr);
 }
 
+// The journal grew until its replacement, which has the kept outcomes, had no space beside it: commits
+// failed, and with them messages and calls, until the disk limit was raised.
+TEST_F(OutcomeRetentionTest, KeptOutcomesLeaveSpaceForACompaction) {
+  constexpr std::size_t kSmallDiskBytes = 400'000;
+  const auto owner = open(OutcomeRetention{kKeep, 100'000}, kSmallDiskBytes);
+  int accepted = 0;
+  std::size_t largestFile = 0;
+  for (int i = 0; i < 5'000; ++i) {
+    const std::string id = "message-" + std::to_string(i);
+    PendingMessage large = message(id);
+    large.body = std::string(500, 'x');
+    if (!owner->hasRoomFor(id.size(), 0, large.body.size())) break;
+    owner->accept(large);
+    ASSERT_TRUE(owner->commit()) << "message " << i;
+    owner->recordAttempt(*owner->find(id), 0, "target", 1);
+    ASSERT_TRUE(owner->commit()) << "attempt of message " << i;
+    end(*owner, id);
+    ++accepted;
+    largestFile = std::max(largestFile, owner->fileBytes());
+  }
+  EXPECT_GT(accepted, 1'000);
+  EXPECT_EQ(owner->outcomeCount(), static_cast<std::size_t>(accepted));
+  EXPECT_LE(largestFile, kSmallDiskBytes);
+}
+
 }  // namespace
 }  // namespace quilltide::net
