Fleet: a folder is handed back to an owner that is back, with messages left

Cause: the holder gave the lease back when the folder was empty, and did not look whether the owner waits for it. Change: members that serve others' folders read the list of leases each second, drain a folder whose owner stands in its line, and give the lease back. FolderHost drains one folder as it drains all. Why it works: after the drain a hand-back is a restart like any other; until it the owner accepts nothing, so no id is known twice.

--- a/src/app/fleet_membership.cpp
+++ b/src/app/fleet_membership.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr auto kScanInterval = std::chrono::milliseconds(1'000);  // of the member that coordinates takeovers
+constexpr auto kHandBackDuration =
+    std::chrono::milliseconds(3'600);  // as at the end of a process; calls that take longer are cut
+constexpr int kOk = 200;
 constexpr auto kCloseTimeout = std::chrono::milliseconds(1'000);
 
 std::string registration(const std::string& config, const std::string& state) {
@@ -97,22 +100,49 @@
 // ---- Takeover of orphaned folders ----
 
 void FleetMembership::scheduleScan() {
-  scanAlarm_.armAfter(kScanInterval, [this] {
-    if (coordinatesTakeovers_ && !closing_) scanFolders();
-  });
+  scanAlarm_.armAfter(kScanInterval, [this] { scan(); });
+}
+
+// The member that coordinates takeovers looks for folders without an owner. Each member that has taken
+// folders over looks whether their owners are back.
+void FleetMembership::scan() {
+  if (closing_) return;
+  if (coordinatesTakeovers_) return scanFolders();
+  if (!folders_.takenOver().empty())
+    return scanLeases([this](const FolderLeases& held) { handBackFolders(held); });
 }
 
 void FleetMembership::scanFolders() {
   session_.read("/v1/values?prefix=" + fleet::kFolderKeyPrefix, [this](int status, const json& values) {
-    if (status != 200) return scheduleScan();
-    session_.read("/v1/leases", [this, values](int leasesStatus, const json& leases) {
-      if (leasesStatus == 200 && coordinatesTakeovers_ && !closing_) claimOrphanedFolders(values, leases);
-      scheduleScan();
+    if (status != kOk) return scheduleScan();
+    scanLeases([this, values](const FolderLeases& held) {
+      if (coordinatesTakeovers_) claimOrphanedFolders(values, held);
+      handBackFolders(held);
     });
   });
 }
 
-void FleetMembership::claimOrphanedFolders(const json& values, const json& leases) {
+void FleetMembership::scanLeases(std::function<void(const FolderLeases&)> handleLeases) {
+  session_.read("/v1/leases", [this, handleLeases = std::move(handleLeases)](int status, const json& body) {
+    if (closing_) return;
+    if (status == kOk) handleLeases(parseFolderLeases(body));
+    scheduleScan();
+  });
+}
+
+FleetMembership::FolderLeases FleetMembership::parseFolderLeases(const json& body) {
+  FolderLeases leases;
+  const std::string prefix = fleet::folderLeaseName("");
+  for (const json& entry : body.at("leases")) {
+    const std::string lease = entry.at("lease").get<std::string>();
+    if (!lease.starts_with(prefix)) continue;
+    const json waiting = entry.value("line", json::array());
+    leases[lease.substr(prefix.size())] = waiting.get<std::set<std::string>>();
+  }
+  return leases;
+}
+
+void FleetMembership::claimOrphanedFolders(const json& values, const FolderLeases& leases) {
   std::set<std::string> registered, held;
   registrations_.clear();
   for (const json& v : values.at("values")) {
@@ -120,11 +150,7 @@
     registered.insert(name);
     registrations_[name] = v.at("value").get<std::string>();
   }
-  const std::string prefix = fleet::folderLeaseName("");
-  for (const json& l : leases.at("leases")) {
-    const std::string lease = l.at("lease").get<std::string>();
-    if (lease.starts_with(prefix)) held.insert(lease.substr(prefix.size()));
-  }
+  for (const auto& [name, waiting] : leases) held.insert(name);
   // A forwarder that came back in the meantime keeps its folder: withdraw the request for its lease.
   for (const std::string& name : std::set<std::string>(takeover_.takingOver())) {
     if (!held.contains(name) || folders_.hasTakenOver(name)) continue;
@@ -137,6 +163,16 @@
   }
 }
 
+// An owner that waits for the lease of its folder has been started again: it serves nobody until it has it.
+void FleetMembership::handBackFolders(const FolderLeases& leases) {
+  for (const std::string& name : folders_.takenOver()) {
+    const auto lease = leases.find(name);
+    if (lease == leases.end() || !lease->second.contains(name)) continue;
+    if (folders_.handBack(name, kHandBackDuration))
+      std::cerr << "fleet: the owner of " << name << " is back, draining its folder" << std::endl;
+  }
+}
+
 // The registration names the member's configuration, whose settings are those of its messages.
 void FleetMembership::startTakeover(const std::string& name, std::uint64_t epoch) {
   if (!takeover_.takingOver().contains(name)) return;
@@ -159,13 +195,18 @@
 }
 
 void FleetMembership::handleTakeoverEnd(const std::string& name, FolderHost::TakeoverEnd end) {
-  const bool completed = end == FolderHost::TakeoverEnd::completed;
-  if (completed) {
-    std::cerr << "fleet: all messages of " << name << " have ended" << std::endl;
-  } else {
-    std::cerr << "fleet: another member has claimed the folder of " << name << std::endl;
+  switch (end) {
+    case FolderHost::TakeoverEnd::completed:
+      std::cerr << "fleet: all messages of " << name << " have ended" << std::endl;
+      break;
+    case FolderHost::TakeoverEnd::handedBack:
+      std::cerr << "fleet: the folder of " << name << " is handed back to its owner" << std::endl;
+      break;
+    case FolderHost::TakeoverEnd::superseded:
+      std::cerr << "fleet: another member has claimed the folder of " << name << std::endl;
+      break;
   }
-  finishTakeover(name, completed);
+  finishTakeover(name, end == FolderHost::TakeoverEnd::completed);
 }
 
 void FleetMembership::finishTakeover(const std::string& name, bool succeeded) {
@@ -184,7 +225,6 @@
 void FleetMembership::stopClaiming() {
   claimingStopped_ = true;
   coordinatesTakeovers_ = false;
-  scanAlarm_.disarm();
   session_.release(fleet::kTakeoverLeaseName);
   for (const std::string& name : std::set<std::string>(takeover_.takingOver())) {
     if (!folders_.hasTakenOver(name)) finishTakeover(name, false);
--- a/src/app/fleet_membership.hpp
+++ b/src/app/fleet_membership.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "app/folder_host.hpp"
@@ -38,9 +39,15 @@
 
  private:
   void handleLeaseEvent(const fleet::LeaseClient::Event& event);
+  // Members that wait for the lease of a folder that is held, by the folder's member.
+  using FolderLeases = std::map<std::string, std::set<std::string>>;
   void scheduleScan();
+  void scan();
   void scanFolders();
-  void claimOrphanedFolders(const nlohmann::json& values, const nlohmann::json& leases);
+  void scanLeases(std::function<void(const FolderLeases&)> handleLeases);
+  static FolderLeases parseFolderLeases(const nlohmann::json& body);
+  void claimOrphanedFolders(const nlohmann::json& values, const FolderLeases& leases);
+  void handBackFolders(const FolderLeases& leases);
   void handleOwnFolderAcquired(const std::string& lease, std::uint64_t epoch);
   void startTakeover(const std::string& name, std::uint64_t epoch);
   void handleTakeoverEnd(const std::string& name, FolderHost::TakeoverEnd end);
--- a/src/app/folder_host.cpp
+++ b/src/app/folder_host.cpp
@@ -19,7 +19,7 @@
 struct FolderHost::Folder {
   std::string stateFolder;
   std::unique_ptr<Forwarder> forwarder;
-  bool drained = false;
+  bool draining = false, drained = false;
 };
 
 struct FolderHost::TakenOverFolder {
@@ -28,7 +28,7 @@
   Folder folder;
   clocks::Alarm pollAlarm;
   TakeoverEndHandler onEnd;
-  bool superseded = false;
+  bool superseded = false, handingBack = false;
 };
 
 FolderHost::FolderHost(boost::asio::io_context& io, const tcp::endpoint& discovery)
@@ -85,6 +85,7 @@
   if (takenOver.superseded) return endTakeover(member, TakeoverEnd::superseded);
   if (takenOver.folder.forwarder->engine().messageJournal().hasNoPendingMessages())
     return endTakeover(member, TakeoverEnd::completed);
+  if (takenOver.handingBack && takenOver.folder.drained) return endTakeover(member, TakeoverEnd::handedBack);
   takenOver.pollAlarm.armAfter(kTakenOverPollInterval, [this, member] { runTakenOver(member); });
 }
 
@@ -96,6 +97,19 @@
   reportIfDrained();
 }
 
+std::set<std::string> FolderHost::takenOver() const {
+  std::set<std::string> members;
+  for (const auto& [member, takenOver] : takenOver_) members.insert(member);
+  return members;
+}
+
+bool FolderHost::handBack(const std::string& member, std::chrono::milliseconds timeLimit) {
+  TakenOverFolder& takenOver = *takenOver_.at(member);
+  if (std::exchange(takenOver.handingBack, true)) return false;
+  drainFolder(takenOver.folder, timeLimit);
+  return true;
+}
+
 void FolderHost::renewOwn(std::uint64_t epoch) {
   try {
     own_->forwarder->engine().renewOwnership(std::make_unique<Ownership>(own_->stateFolder, epoch));
@@ -128,15 +142,19 @@
 
 void FolderHost::drain(std::chrono::milliseconds timeLimit, std::function<void()> onDrained) {
   onDrained_ = std::move(onDrained);
-  forEachFolder([&](Folder& folder) {
-    folder.forwarder->drain(timeLimit, [this, &folder] {
-      folder.drained = true;
-      reportIfDrained();
-    });
-  });
+  forEachFolder([&](Folder& folder) { drainFolder(folder, timeLimit); });
   reportIfDrained();
 }
 
+// A folder that is being drained already ends its drain as it was begun, which is earlier.
+void FolderHost::drainFolder(Folder& folder, std::chrono::milliseconds timeLimit) {
+  if (std::exchange(folder.draining, true)) return;
+  folder.forwarder->drain(timeLimit, [this, &folder] {
+    folder.drained = true;
+    reportIfDrained();
+  });
+}
+
 // Posted, because the caller may be an operation of a forwarder that the handler destroys.
 void FolderHost::reportIfDrained() {
   if (!onDrained_) return;
--- a/src/app/folder_host.hpp
+++ b/src/app/folder_host.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "app/forwarder.hpp"
@@ -25,6 +26,7 @@
   // Why a folder that was taken over is no longer served.
   enum class TakeoverEnd {
     completed,   // all of its messages have ended
+    handedBack,  // drained for its owner, which is back; messages may be pending
     superseded,  // another member has claimed the folder
   };
   using TakeoverEndHandler = std::function<void(const std::string& member, TakeoverEnd end)>;
@@ -50,6 +52,10 @@
   void takeOver(const std::string& member, const PlatformConfig& config, std::unique_ptr<Ownership> ownership,
                 TakeoverEndHandler onEnd);
   bool hasTakenOver(const std::string& member) const { return takenOver_.contains(member); }
+  std::set<std::string> takenOver() const;  // members
+  // Drains a folder that was taken over, and ends its takeover by TakeoverEnd::handedBack after `timeLimit`
+  // at the latest. Returns false, and does nothing, if the folder is being handed back already.
+  bool handBack(const std::string& member, std::chrono::milliseconds timeLimit);
   // Continue with a folder under a higher epoch, after its lease was lost and granted again. A folder that
   // cannot be continued with is reported as superseded; the own folder then stays with its present epoch if
   // the new one cannot be claimed.
@@ -71,6 +77,7 @@
   struct TakenOverFolder;
   template <typename Visitor>
   void forEachFolder(Visitor visit);
+  void drainFolder(Folder& folder, std::chrono::milliseconds timeLimit);
   void runTakenOver(const std::string& member);
   void endTakeover(const std::string& member, TakeoverEnd end);
   void reportIfDrained();
--- a/tests/harness/served_folders_test.cpp
+++ b/tests/harness/served_folders_test.cpp
@@ -78,6 +78,21 @@
       EXPECT_TRUE(notice == newDirectory.notices().end() || !notice->second.conflicting) << id;
     }
   }
+  // Each message is delivered, or told as given up, and runs once at most.
+  void expectOneEndEach(const std::vector<std::string>& messageIds) {
+    EXPECT_TRUE(waitUntil(
+        [&] {
+          return std::all_of(messageIds.begin(), messageIds.end(), [&](const std::string& id) {
+            return effects.isSettled(id) || directory.notices().contains(id);
+          });
+        },
+        20'000))
+        << harness.timeline().text();
+    for (const std::string& id : messageIds) {
+      EXPECT_LE(effects.countOf(id), 1U) << id;
+      EXPECT_FALSE(effects.isSettled(id) && directory.notices().contains(id)) << id << " has two ends";
+    }
+  }
   void expectReadyAgain(const std::string& forwarder) {
     harness.start(forwarder);
     EXPECT_TRUE(harness.waitForLine(forwarder, "is ready", kReadyWithin)) << harness.timeline().text();
@@ -346,5 +361,52 @@
   }
 }
 
+// A forwarder that was started again while another member served its folder was not ready until the last of
+// its messages had ended, up to their whole time: here 16 s, for a target that does not answer.
+TEST_F(ServedFoldersTest, OwnerThatIsBackIsReadyWhileItsMessagesWait) {
+  startForwarders(2);
+  partner.setScript([](const std::string&, int) { return Behavior::hangAfterEffect; });
+  const auto messages = ids("m", 4);
+  submitAll("f1", messages, milliseconds(16'000));
+  harness.child("f1").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  expectReadyAgain("f1");
+  EXPECT_EQ(harness.timeline().countMatches("f0", "folder of f1 is handed back"), 1U);
+  // No id is taken on anew: a repeat is the same message.
+  answers.clear();
+  submitAll("f1", messages, milliseconds(16'000));
+  expectOneEndEach(messages);
+}
+
+// The holder dies while it hands a folder back: the owner has it when the holder's term is over.
+TEST_F(ServedFoldersTest, HolderKilledWhileItHandsAFolderBackLosesNothing) {
+  startForwarders(2);
+  partner.setScript([](const std::string&, int) { return Behavior::hangAfterEffect; });
+  const auto messages = ids("m", 4);
+  submitAll("f1", messages, milliseconds(16'000));
+  harness.child("f1").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  harness.start("f1");
+  ASSERT_TRUE(harness.waitForLine("f0", "the owner of f1 is back", milliseconds(5'000)));
+  harness.child("f0").kill();
+  EXPECT_TRUE(harness.waitForLine("f1", "is ready", kReadyWithin)) << harness.timeline().text();
+  expectOneEndEach(messages);
+}
+
+// The owner dies again while it waits for its folder: the folder is taken over anew, and all messages end.
+TEST_F(ServedFoldersTest, OwnerKilledWhileItsFolderIsHandedBackLosesNothing) {
+  startForwarders(2);
+  partner.goOffline();
+  const auto messages = ids("m", 4);
+  submitAll("f1", messages, milliseconds(16'000));
+  harness.child("f1").kill();
+  ASSERT_TRUE(takesOver("f0", "f1"));
+  harness.start("f1");
+  ASSERT_TRUE(harness.waitForLine("f0", "the owner of f1 is back", milliseconds(5'000)));
+  harness.child("f1").kill();
+  partner.comeOnline();
+  expectOneEndEach(messages);
+}
+
 }  // namespace
 }  // namespace quilltide::harness
