--- a/tests/harness/served_folders_test.cpp
+++ b/tests/harness/served_folders_test.cpp
@@ -3,149 +3,18 @@
 #include <filesystem>
 #include <fstream>
 
-#include "takeover_fixture.hpp"
+#include "served_folders_fixture.hpp"
 
 namespace quilltide::harness {
 namespace {
 
-constexpr milliseconds kTakeoverTimeout{20'000};
-constexpr milliseconds kReadyWithin{10'000};      // of a forwarder that is started again
-constexpr milliseconds kDrainWithin{3'700};       // SIGKILL follows SIGTERM no sooner
-constexpr milliseconds kNoticeOverdue{300 + 50};  // after the end of a message, with the slack of the rules
-
-// f0 is the member that takes over: it is started first, so it has the lease for takeovers.
-struct ServedFoldersTest : TakeoverTest {
-  ServedFoldersTest() : newDirectory(io, harness.portEndpoint("new", "http")) {}
-
-  static std::vector<std::string> ids(const std::string& prefix, int count) {
-    std::vector<std::string> out;
-    for (int i = 0; i < count; ++i) out.push_back(prefix + std::to_string(i));
-    return out;
-  }
-
-  void submitAll(const std::string& forwarder, const std::vector<std::string>& messageIds,
-                 milliseconds timeToLive, const std::string& messageClass = "paiement") {
-    for (const std::string& id : messageIds) submitMessage(forwarder, id, messageClass, 0, timeToLive);
-    lastDeadline = std::chrono::steady_clock::now() + timeToLive;
-    ASSERT_TRUE(waitUntil([&] {
-      return std::all_of(messageIds.begin(), messageIds.end(), [&](const auto& id) { return accepted(id); });
-    })) << harness.timeline().text();
-  }
-
-  bool takesOver(const std::string& member, const std::string& dead) {
-    return harness.waitUntil(
-        [&] { return harness.timeline().countMatches(member, "fleet: takes over " + dead) > 0; },
-        kTakeoverTimeout);
-  }
-  bool completes(const std::string& member, const std::string& dead) {
-    return harness.waitUntil(
-        [&] {
-          return harness.timeline().countMatches(member, "all messages of " + dead + " have ended") > 0;
-        },
-        kTakeoverTimeout);
-  }
-
-  std::string configPath(const std::string& forwarder) {
-    return (harness.child(forwarder).folder() / "config.json").string();
-  }
-  void writeDiscovery(const std::string& forwarder, const std::string& server) {
-    nlohmann::json config = nlohmann::json::parse(std::ifstream(configPath(forwarder)));
-    config["discovery"] = toString(harness.linkEndpoint(forwarder, server, "http"));
-    std::ofstream(configPath(forwarder)) << config.dump();
-  }
-  // A new configuration and SIGHUP.
-  void moveDiscovery(const std::string& forwarder, const std::string& server) {
-    writeDiscovery(forwarder, server);
-    harness.child(forwarder).sendSignal(SIGHUP);
-  }
-  void endOldDirectory() {
-    for (const auto& [name, link] : harness.links(".*->directory.http")) {
-      link->refuseConnections(true);
-      link->resetConnections();
-    }
-  }
-
-  // Waits until notices are overdue, and expects one for each message, all at the new address.
-  void expectNoticesAtNewDirectory(const std::vector<std::string>& messageIds) {
-    const auto untilOverdue = std::chrono::duration_cast<milliseconds>(lastDeadline + kNoticeOverdue -
-                                                                       std::chrono::steady_clock::now());
-    harness.waitUntil([&] { return newDirectory.notices().size() >= messageIds.size(); },
-                      std::max(untilOverdue, milliseconds(0)));
-    for (const std::string& id : messageIds) {
-      EXPECT_TRUE(newDirectory.notices().contains(id)) << id << " has no notice";
-      EXPECT_FALSE(directory.notices().contains(id)) << id << " has a notice at the old address";
-      const auto notice = newDirectory.notices().find(id);
-      EXPECT_TRUE(notice == newDirectory.notices().end() || !notice->second.conflicting) << id;
-    }
-  }
-  // Each message is delivered, or told as given up, and runs once at most.
-  void expectOneEndEach(const std::vector<std::string>& messageIds) {
-    EXPECT_TRUE(waitUntil(
-        [&] {
-          return std::all_of(messageIds.begin(), messageIds.end(), [&](const std::string& id) {
-            return effects.isSettled(id) || directory.notices().contains(id);
-          });
-        },
-        20'000))
-        << harness.timeline().text();
-    for (const std::string& id : messageIds) {
-      EXPECT_LE(effects.countOf(id), 1U) << id;
-      EXPECT_FALSE(effects.isSettled(id) && directory.notices().contains(id)) << id << " has two ends";
-    }
-  }
-  void expectReadyAgain(const std::string& forwarder) {
-    harness.start(forwarder);
-    EXPECT_TRUE(harness.waitForLine(forwarder, "is ready", kReadyWithin)) << harness.timeline().text();
-  }
-
-  // A folder that was taken over is being delivered when SIGTERM comes, by calls that take 900 ms: no call is
-  // cut, and the owner continues afterwards.
-  void drainsATakenOverFolder(int messageCount) {
-    startForwarders(2);
-    partner.goOffline();
-    const auto messages = ids("m", messageCount);
-    submitAll("f1", messages, milliseconds(16'000));
-    harness.child("f1").kill();
-    PartnerSettings slow;
-    slow.responseDelay = milliseconds(900);
-    partner.configure(slow);
-    partner.comeOnline();
-    ASSERT_TRUE(takesOver("f0", "f1"));
-    ASSERT_TRUE(waitUntil([&] { return !effects.all().empty(); }));
-    harness.child("f0").sendSignal(SIGTERM);
-    const auto signalled = std::chrono::steady_clock::now();
-    ASSERT_TRUE(waitForExit("f0"));
-    EXPECT_LE(std::chrono::steady_clock::now() - signalled, kDrainWithin);
-    harness.runFor(milliseconds(1'200));  // until the partner has answered the last call
-    for (const Effect& effect : effects.all()) EXPECT_TRUE(effects.isSettled(effect.id)) << effect.id;
-    expectReadyAgain("f1");
-    EXPECT_TRUE(waitUntil(
-        [&] {
-          return std::all_of(messages.begin(), messages.end(), [&](const std::string& id) {
-            return effects.isSettled(id) || directory.notices().contains(id);
-          });
-        },
-        20'000))
-        << harness.timeline().text();
-    for (const std::string& id : messages) {
-      EXPECT_LE(effects.countOf(id), 1U) << id;
-      EXPECT_EQ(effects.countOf(id) + directory.notices().contains(id), 1U) << id << " was cut and given up";
-    }
-  }
-
-  Directory newDirectory;
-  std::chrono::steady_clock::time_point lastDeadline;
-};
-
 // After SIGHUP the notices of a folder that had been taken over went on to the old address: none arrived, and
 // the folder's own forwarder was never ready again (review/9). The dead member's file still names the old
 // address.
 TEST_F(ServedFoldersTest, NoticesOfATakenOverFolderGoToTheNewAddress) {
-  startForwarders(2);
   partner.goOffline();
   const auto messages = ids("m", 4);
-  submitAll("f1", messages, milliseconds(6'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(6'000));
   ASSERT_TRUE(takesOver("f0", "f1"));
   moveDiscovery("f0", "new");
   endOldDirectory();
@@ -157,12 +26,10 @@
 // After SIGHUP the watch of a folder that had been taken over stayed with the old address: a target that only
 // the new one lists was never called.
 TEST_F(ServedFoldersTest, WatchOfATakenOverFolderGoesToTheNewAddress) {
-  startForwarders(2);
   Partner newPartner(io, 0, effects);
   partner.goOffline();
   const auto messages = ids("m", 8);
-  submitAll("f1", messages, milliseconds(12'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(12'000));
   ASSERT_TRUE(takesOver("f0", "f1"));
   moveDiscovery("f0", "new");
   endOldDirectory();
@@ -176,11 +43,9 @@
 // A folder that is claimed after SIGHUP was served with the address in the dead member's file, which nobody
 // brings up to date.
 TEST_F(ServedFoldersTest, FolderTakenOverAfterTheMoveUsesTheNewAddress) {
-  startForwarders(2);
   partner.goOffline();
   const auto messages = ids("m", 4);
-  submitAll("f1", messages, milliseconds(6'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(6'000));
   moveDiscovery("f0", "new");
   endOldDirectory();
   ASSERT_TRUE(takesOver("f0", "f1"));
@@ -191,11 +56,9 @@
 // A SIGHUP in the moments between the claim of a folder and its start, and again while it is handed back,
 // leaves no folder at an older address.
 TEST_F(ServedFoldersTest, MovesDuringATakeoverAndItsEndLoseNoNotice) {
-  startForwarders(2);
   partner.goOffline();
   const auto messages = ids("m", 4);
-  submitAll("f1", messages, milliseconds(6'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(6'000));
   ASSERT_TRUE(harness.waitUntil(
       [&] { return harness.timeline().countMatches("f0", "f1 is down, requesting its folder") > 0; },
       kTakeoverTimeout));
@@ -242,11 +105,9 @@
 // The member that took a folder over dies after the move: the next one serves the folder with the new
 // address, although both dead members' files name the old one, and the owner is ready again.
 TEST_F(ServedFoldersTest, SuccessorOfASuccessorUsesTheNewAddress) {
-  startForwarders(3);
   partner.goOffline();
   const auto messages = ids("m", 4);
-  submitAll("f1", messages, milliseconds(10'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(10'000), 3);
   ASSERT_TRUE(takesOver("f0", "f1"));
   moveDiscovery("f0", "new");
   moveDiscovery("f2", "new");
@@ -261,11 +122,9 @@
 // A dead member's configuration that is missing or half written is logged with its name, and its folder is
 // taken over once it is whole.
 TEST_F(ServedFoldersTest, FolderOfAMemberWithAnUnreadableFileIsTakenOverOnceItIsWhole) {
-  startForwarders(2);
   partner.goOffline();
   const auto messages = ids("m", 2);
-  submitAll("f1", messages, milliseconds(15'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(15'000));
   const std::string path = configPath("f1");
   std::filesystem::rename(path, path + ".aside");
   ASSERT_TRUE(
@@ -364,11 +223,9 @@
 // A forwarder that was started again while another member served its folder was not ready until the last of
 // its messages had ended, up to their whole time: here 16 s, for a target that does not answer.
 TEST_F(ServedFoldersTest, OwnerThatIsBackIsReadyWhileItsMessagesWait) {
-  startForwarders(2);
   partner.setScript([](const std::string&, int) { return Behavior::hangAfterEffect; });
   const auto messages = ids("m", 4);
-  submitAll("f1", messages, milliseconds(16'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(16'000));
   ASSERT_TRUE(takesOver("f0", "f1"));
   expectReadyAgain("f1");
   EXPECT_EQ(harness.timeline().countMatches("f0", "folder of f1 is handed back"), 1U);
@@ -380,11 +237,9 @@
 
 // The holder dies while it hands a folder back: the owner has it when the holder's term is over.
 TEST_F(ServedFoldersTest, HolderKilledWhileItHandsAFolderBackLosesNothing) {
-  startForwarders(2);
   partner.setScript([](const std::string&, int) { return Behavior::hangAfterEffect; });
   const auto messages = ids("m", 4);
-  submitAll("f1", messages, milliseconds(16'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(16'000));
   ASSERT_TRUE(takesOver("f0", "f1"));
   harness.start("f1");
   ASSERT_TRUE(harness.waitForLine("f0", "the owner of f1 is back", milliseconds(5'000)));
@@ -395,11 +250,9 @@
 
 // The owner dies again while it waits for its folder: the folder is taken over anew, and all messages end.
 TEST_F(ServedFoldersTest, OwnerKilledWhileItsFolderIsHandedBackLosesNothing) {
-  startForwarders(2);
   partner.goOffline();
   const auto messages = ids("m", 4);
-  submitAll("f1", messages, milliseconds(16'000));
-  harness.child("f1").kill();
+  killWithPending(messages, milliseconds(16'000));
   ASSERT_TRUE(takesOver("f0", "f1"));
   harness.start("f1");
   ASSERT_TRUE(harness.waitForLine("f0", "the owner of f1 is back", milliseconds(5'000)));
